--- a/benchmarks/bench_disruption.py
+++ b/benchmarks/bench_disruption.py
@@ -27,9 +27,9 @@
 from godwitturn.core import configuration as configurations
 from godwitturn.core import documents
 from godwitturn.metrics import registry
-from godwitturn.platform import operations
-from godwitturn.platform import repository
-from godwitturn.platform import store
+from godwitturn.etcd import operations
+from godwitturn.etcd import repository
+from godwitturn.etcd import store
 from godwitturn.standins import deployments
 from godwitturn.standins import history
 from godwitturn.standins import system
--- a/godwitturn/admin/operations.py
+++ b/godwitturn/admin/operations.py
@@ -21,12 +21,12 @@
 from godwitturn.core import documents
 from godwitturn.core import inventory
 from godwitturn.core import write_operation
-from godwitturn.platform import failures
+from godwitturn.etcd import failures
 
 if TYPE_CHECKING:
     # Brings httpx, which subcommands without a store do not load.
-    from godwitturn.platform import operations
-    from godwitturn.platform import repository as repositories
+    from godwitturn.etcd import operations
+    from godwitturn.etcd import repository as repositories
 
 WriteVerdict = write_operation.WriteVerdict
 
--- a/godwitturn/admin/state.py
+++ b/godwitturn/admin/state.py
@@ -14,7 +14,7 @@
 from godwitturn.settings import schema
 
 if TYPE_CHECKING:
-    from godwitturn.platform import repository as repositories
+    from godwitturn.etcd import repository as repositories
 
 # The largest body, 2 MiB, then needs 70 kB/s.
 BODY_SECONDS = 30.0
--- a/godwitturn/cli/session.py
+++ b/godwitturn/cli/session.py
@@ -97,8 +97,8 @@
         """
         import trio
 
-        from godwitturn.platform import repository as repositories
-        from godwitturn.platform import store
+        from godwitturn.etcd import repository as repositories
+        from godwitturn.etcd import store
 
         async def with_store() -> ExitCode:
             async with store.StoreClient(
--- /dev/null
+++ b/godwitturn/core/transparent/agent.py
@@ -0,0 +1,509 @@
+"""Decisions of the agent beside a target.
+
+The agent sees every packet of its target in both directions. It knows the
+target's flows, hands back openings that the target must not get, and tells
+balancers how loaded the target is.
+"""
+
+import collections
+
+import attrs
+
+from godwitturn.core.transparent import cold_limit
+from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import segments
+
+TICK_S = 0.05
+ANNOUNCE_INTERVAL_S = 0.25
+# Bounds announcements while flows open and end quickly.
+ANNOUNCE_GAP_S = 0.04
+BALANCER_FORGOTTEN_S = 5.0
+FLOW_IDLE_S = 60.0
+# Late copies of a closing flow's packets still find it.
+FLOW_CLOSING_S = 3.0
+FLOW_OPENING_S = 3.0
+FLOW_SWEEP_S = 1.0
+# Packets that the target returns come back within milliseconds.
+DELIVERIES_KEPT = 1024
+# Three heartbeats missed: the target may be gone.
+HEARTBEATS_MISSED = 3.0
+
+
+@attrs.define(frozen=True, slots=True)
+class Heartbeat:
+    """What a target says of itself.
+
+    Attributes:
+        target_id: Its id.
+        born: When it started, as it says.
+        sequence: Count of its heartbeats since then.
+        service: Its service.
+        draining: Whether it is about to leave.
+        slots: Requests that it runs at the same time.
+        cold_ms: Milliseconds for which it stays cold.
+    """
+
+    target_id: str
+    born: int
+    sequence: int
+    service: str
+    draining: bool
+    slots: int
+    cold_ms: int
+
+
+@attrs.define(slots=True)
+class Flow:
+    """A flow at the target.
+
+    Attributes:
+        balancer: Balancer that last forwarded a packet of it.
+        accepted: Whether the target has accepted the opening.
+        waiting: Whether a request has no answer yet.
+        client_ended: Whether the client has sent everything.
+        target_ended: Whether the target has sent everything.
+        used_at: When its last packet passed.
+    """
+
+    balancer: str
+    used_at: float
+    accepted: bool = False
+    waiting: bool = False
+    client_ended: bool = False
+    target_ended: bool = False
+
+    @property
+    def closing(self) -> bool:
+        """Whether both ends have sent everything."""
+        return self.client_ended and self.target_ended
+
+
+@attrs.define(slots=True)
+class Delivery:
+    """A packet given to the target that may come back.
+
+    Attributes:
+        balancer: Who forwarded it.
+        forward: What it forwarded.
+    """
+
+    balancer: str
+    forward: messages.Forward
+
+
+@attrs.define(slots=True)
+class Agent:
+    """State and decisions of one agent.
+
+    Attributes:
+        node: Name of this VM.
+        service: The service whose target runs here.
+        data_centre: The data centre.
+        run: Random number of this run.
+        heartbeat: The newest heartbeat of the target, None if none came.
+        state: State of the target.
+        evacuated: Whether the data centre is to get nothing new.
+        revision: Store revision that `evacuated` comes from.
+        flow_by_id: Flows of the target.
+        balancer_heard_at: When each balancer was last heard.
+        counts: Counters by name.
+    """
+
+    node: str
+    service: str
+    data_centre: str
+    run: int
+    heartbeat: Heartbeat | None = None
+    heartbeat_at: float = 0.0
+    heartbeat_interval_s: float = 1.2
+    state: messages.TargetState = messages.TargetState.UNKNOWN
+    evacuated: bool = False
+    revision: int = 0
+    registration_missing: bool = False
+    flow_by_id: dict[segments.FlowId, Flow] = attrs.field(factory=dict)
+    balancer_heard_at: dict[str, float] = attrs.field(factory=dict)
+    cold: cold_limit.ColdLimit = attrs.field(factory=cold_limit.ColdLimit)
+    counts: dict[str, int] = attrs.field(factory=dict)
+    _witnessed: bool = False
+    _deliveries: collections.OrderedDict[int, Delivery] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    _tag: int = 0
+    _sequence: int = 0
+    _announced_at: float = float("-inf")
+    _swept_at: float = 0.0
+    _changed: bool = False
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the target's present start, empty if unknown."""
+        if self.heartbeat is None:
+            return ""
+        return f"{self.heartbeat.target_id}/{self.heartbeat.born}"
+
+    # The target's word.
+
+    def handle_heartbeat(
+        self, heartbeat: Heartbeat, *, now: float
+    ) -> list[messages.Action]:
+        """Takes a heartbeat of the target."""
+        known = self.heartbeat
+        if heartbeat.service != self.service:
+            return self._ignored(heartbeat, "service")
+        if known is not None and heartbeat.born < known.born:
+            return self._ignored(heartbeat, "earlier_start")
+        restarted = known is None or (
+            (heartbeat.target_id, heartbeat.born)
+            != (known.target_id, known.born)
+        )
+        if (
+            not restarted
+            and known is not None
+            and heartbeat.sequence <= known.sequence
+        ):
+            return self._ignored(heartbeat, "late")
+        if restarted and known is not None:
+            self.flow_by_id.clear()
+            self._witnessed = True
+        self.heartbeat = heartbeat
+        self.heartbeat_at = now
+        state = (
+            messages.TargetState.DRAINING
+            if heartbeat.draining
+            else messages.TargetState.READY
+        )
+        if state == self.state and not restarted:
+            return []
+        self.state = state
+        return [
+            messages.Record(
+                "target_state",
+                {
+                    "incarnation": self.incarnation,
+                    "state": state.name.lower(),
+                    "sequence": heartbeat.sequence,
+                    "cold_ms": heartbeat.cold_ms,
+                    "restarted": restarted,
+                },
+            ),
+            *self.announce(now=now),
+        ]
+
+    def handle_departure(
+        self, target_id: str, *, now: float
+    ) -> list[messages.Action]:
+        """Takes the target's word that it has ended."""
+        known = self.heartbeat
+        if known is not None and known.target_id != target_id:
+            return []
+        return self._down("departed", now=now)
+
+    def handle_unreachable(self, *, now: float) -> list[messages.Action]:
+        """Notes that nothing listens at the target's address."""
+        if self.state == messages.TargetState.DOWN:
+            return []
+        return self._down("unreachable", now=now)
+
+    def _down(self, reason: str, *, now: float) -> list[messages.Action]:
+        self.state = messages.TargetState.DOWN
+        self.flow_by_id.clear()
+        self._witnessed = True
+        return [
+            messages.Record(
+                "target_down",
+                {"incarnation": self.incarnation, "reason": reason},
+            ),
+            *self.announce(now=now),
+        ]
+
+    def _ignored(
+        self, heartbeat: Heartbeat, reason: str
+    ) -> list[messages.Action]:
+        self._count(f"heartbeat_{reason}")
+        return [
+            messages.Record(
+                "heartbeat_ignored",
+                {
+                    "reason": reason,
+                    "target": heartbeat.target_id,
+                    "service": heartbeat.service,
+                    "sequence": heartbeat.sequence,
+                    "born": heartbeat.born,
+                },
+            )
+        ]
+
+    def cold_ms(self, now: float) -> int:
+        """Returns for how many milliseconds the target stays cold."""
+        if self.heartbeat is None:
+            return 1  # unknown: as if cold
+        elapsed_ms = 1000 * (now - self.heartbeat_at)
+        return max(0, round(self.heartbeat.cold_ms - elapsed_ms))
+
+    # Packets from balancers.
+
+    def handle_forward(
+        self,
+        balancer: str,
+        forward: messages.Forward,
+        segment: segments.Segment,
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        """Gives a client's packet to the target, or hands it back."""
+        self._meet(balancer, now=now)
+        flow = self.flow_by_id.get(segment.flow_id)
+        if flow is not None:
+            flow.balancer = balancer
+            flow.used_at = now
+            if segment.size:
+                flow.waiting = True
+            if segment.ending:
+                flow.client_ended = True
+                self._changed = True
+            actions = [self._deliver(balancer, forward)]
+            if forward.search and flow.accepted:
+                actions.append(
+                    messages.Send(balancer, messages.FlowHeld(segment.flow_id))
+                )
+            return actions
+        if segment.opening:
+            return self._admit(balancer, forward, segment, now=now)
+        if (
+            self._witnessed
+            or forward.service != self.service
+            or self.state == messages.TargetState.DOWN
+        ):
+            return [
+                messages.Send(balancer, messages.FlowMissing(segment.data))
+            ]
+        # The target may hold flows from before this agent started; it returns
+        # packets of those that it doesn't hold.
+        return [self._deliver(balancer, forward)]
+
+    def _admit(
+        self,
+        balancer: str,
+        forward: messages.Forward,
+        segment: segments.Segment,
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        reason = self._refusal(forward, now=now)
+        if reason is not None:
+            return self._refuse(balancer, segment, reason)
+        self.flow_by_id[segment.flow_id] = Flow(balancer, now)
+        self._changed = True
+        return [
+            self._deliver(balancer, forward),
+            messages.Record(
+                "opening_delivered",
+                {
+                    "flow": segments.flow_name(segment.flow_id),
+                    "balancer": balancer,
+                    "incarnation": self.incarnation,
+                    "state": self.state.name.lower(),
+                    "state_age_ms": round(1000 * (now - self.heartbeat_at)),
+                },
+            ),
+        ]
+
+    def _refusal(
+        self, forward: messages.Forward, *, now: float
+    ) -> messages.Refusal | None:
+        if forward.service != self.service:
+            return messages.Refusal.WRONG_SERVICE
+        if self.state == messages.TargetState.DOWN:
+            return messages.Refusal.DOWN
+        if self.state == messages.TargetState.DRAINING:
+            return messages.Refusal.DRAINING
+        if self.evacuated:
+            return messages.Refusal.EVACUATED
+        if self.cold_ms(now) > 0 and not self.cold.admit(now=now):
+            return messages.Refusal.COLD
+        return None
+
+    def _refuse(
+        self,
+        balancer: str,
+        segment: segments.Segment,
+        reason: messages.Refusal,
+    ) -> list[messages.Action]:
+        self._count(f"refused_{reason.name.lower()}")
+        return [
+            messages.Send(balancer, messages.Refused(reason, segment.data)),
+            messages.Record(
+                "opening_returned",
+                {
+                    "flow": segments.flow_name(segment.flow_id),
+                    "balancer": balancer,
+                    "reason": reason.name.lower(),
+                    "incarnation": self.incarnation,
+                },
+            ),
+        ]
+
+    def _deliver(
+        self, balancer: str, forward: messages.Forward
+    ) -> messages.Deliver:
+        self._tag = self._tag % 0xFFFFFFFF + 1
+        self._deliveries[self._tag] = Delivery(balancer, forward)
+        if len(self._deliveries) > DELIVERIES_KEPT:
+            self._deliveries.popitem(last=False)
+        return messages.Deliver(forward.data, self._tag)
+
+    # Packets from the target.
+
+    def handle_target_packet(
+        self, segment: segments.Segment, *, now: float
+    ) -> list[messages.Action]:
+        """Sends a target's packet to the client, or hands it back."""
+        if segment.returned:
+            return self._returned(segment)
+        flow = self.flow_by_id.get(segment.flow_id)
+        if flow is None:
+            flow = Flow("", now, accepted=not segment.accepting)
+            if not segment.resetting:
+                self.flow_by_id[segment.flow_id] = flow
+        flow.used_at = now
+        actions: list[messages.Action] = [
+            messages.Answer(segment.flow_id, segment.data)
+        ]
+        if segment.size:
+            flow.waiting = False
+        if segment.accepting or not flow.accepted:
+            flow.accepted = True
+            if flow.balancer:
+                actions.append(
+                    messages.Send(
+                        flow.balancer, messages.FlowHeld(segment.flow_id)
+                    )
+                )
+        if segment.ending and not flow.target_ended:
+            flow.target_ended = True
+            self._changed = True
+        if segment.resetting:
+            self.flow_by_id.pop(segment.flow_id, None)
+            self._changed = True
+        return actions
+
+    def _returned(self, segment: segments.Segment) -> list[messages.Action]:
+        delivery = self._deliveries.pop(segment.tag, None)
+        if delivery is None:
+            self._count("returned_unknown")
+            return []
+        data = delivery.forward.data
+        flow = self.flow_by_id.get(segment.flow_id)
+        if segment.opening:
+            self.flow_by_id.pop(segment.flow_id, None)
+            return self._refuse(
+                delivery.balancer, segment_with(segment, data), _FULL
+            )
+        if flow is not None:
+            del self.flow_by_id[segment.flow_id]
+            self._changed = True
+        return [
+            messages.Send(delivery.balancer, messages.FlowMissing(data)),
+            messages.Record(
+                "flow_not_held",
+                {
+                    "flow": segments.flow_name(segment.flow_id),
+                    "balancer": delivery.balancer,
+                    "incarnation": self.incarnation,
+                },
+            ),
+        ]
+
+    # Balancers.
+
+    def handle_greeting(
+        self, balancer: str, greeting: messages.Greeting, *, now: float
+    ) -> list[messages.Action]:
+        """Takes what a balancer says of this agent's data centre."""
+        self._meet(balancer, now=now)
+        actions: list[messages.Action] = []
+        self.registration_missing = not greeting.registered
+        if greeting.revision >= self.revision and greeting.revision:
+            self.revision = greeting.revision
+            self.cold.per_second = greeting.cold_per_second
+            if greeting.evacuated != self.evacuated:
+                self.evacuated = greeting.evacuated
+                actions.append(
+                    messages.Record(
+                        "evacuation",
+                        {
+                            "evacuated": greeting.evacuated,
+                            "balancer": balancer,
+                            "revision": greeting.revision,
+                        },
+                    )
+                )
+        return actions
+
+    def _meet(self, balancer: str, *, now: float) -> None:
+        if balancer not in self.balancer_heard_at:
+            self._announced_at = float("-inf")
+        self.balancer_heard_at[balancer] = now
+
+    def announce(self, *, now: float) -> list[messages.Action]:
+        """Returns announcements to all balancers."""
+        self._announced_at = now
+        self._changed = False
+        self._sequence += 1
+        flows = [
+            flow for flow in self.flow_by_id.values() if not flow.closing
+        ]
+        announcement = messages.Announcement(
+            node=self.node,
+            service=self.service,
+            data_centre=self.data_centre,
+            run=self.run,
+            sequence=self._sequence,
+            incarnation=self.incarnation,
+            state=self.state,
+            slots=self.heartbeat.slots if self.heartbeat else 1,
+            flows=len(flows),
+            work=sum(flow.waiting for flow in flows),
+            cold_ms=self.cold_ms(now),
+            balancers=tuple(self.balancer_heard_at),
+        )
+        return [
+            messages.Send(balancer, announcement)
+            for balancer in self.balancer_heard_at
+        ]
+
+    def tick(self, *, now: float) -> list[messages.Action]:
+        """Does what is due; to be called every `TICK_S`."""
+        if now - self._swept_at >= FLOW_SWEEP_S:
+            self._swept_at = now
+            self._sweep(now)
+        gap_s = ANNOUNCE_GAP_S if self._changed else ANNOUNCE_INTERVAL_S
+        if now - self._announced_at < gap_s:
+            return []
+        return self.announce(now=now)
+
+    def _sweep(self, now: float) -> None:
+        for flow_id, flow in list(self.flow_by_id.items()):
+            if flow.closing:
+                limit_s = FLOW_CLOSING_S
+            elif not flow.accepted:
+                limit_s = FLOW_OPENING_S
+            else:
+                limit_s = FLOW_IDLE_S
+            if now - flow.used_at > limit_s:
+                del self.flow_by_id[flow_id]
+                self._changed = True
+        for balancer, heard_at in list(self.balancer_heard_at.items()):
+            if now - heard_at > BALANCER_FORGOTTEN_S:
+                del self.balancer_heard_at[balancer]
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+
+_FULL = messages.Refusal.FULL
+
+
+def segment_with(segment: segments.Segment, data: bytes) -> segments.Segment:
+    """Returns a segment with the packet as the client sent it."""
+    return attrs.evolve(segment, data=data, returned=False, tag=0)
--- /dev/null
+++ b/godwitturn/core/transparent/balancer.py
@@ -0,0 +1,584 @@
+"""Decisions of a balancer that forwards packets unchanged.
+
+The balancer keeps a cache of where flows are. A packet of a flow that it
+doesn't know is offered to the agents of the route's services, which know the
+flows of their targets; whoever holds the flow takes the packet and says so.
+"""
+
+import zlib
+
+import attrs
+
+from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import routes
+from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import targets
+
+TICK_S = 0.1
+# A tick later than this is a pause of the process, not of the agents.
+PAUSE_S = 0.5
+# Agents forget a balancer after several missed greetings.
+GREETING_INTERVAL_S = 0.5
+# Until an agent answers, it may just be starting.
+FIRST_GREETING_INTERVAL_S = 0.1
+PEER_INTERVAL_S = 0.5
+PEER_FORGOTTEN_S = 5.0
+AGENT_FORGOTTEN_S = 10.0
+# Clients repeat an opening after 200 ms; one that is unanswered by then is
+# offered to another target.
+OPENING_ANSWER_S = 0.15
+MAX_TRIES = 4
+# Searches that are not settled start again with the client's next packet.
+SEARCH_S = 0.15
+# Flows are forgotten some time after the last packet; agents still know them.
+FLOW_CACHE_S = 60.0
+FLOW_SWEEP_S = 5.0
+# A balancer that starts serves without answers of all agents after this.
+START_GRACE_S = 1.0
+# Without agents or configuration for this long, clients are told at once.
+UNKNOWN_GRACE_S = 2.0
+
+
+@attrs.define(slots=True)
+class CachedFlow:
+    """Where a flow is, as far as this balancer knows.
+
+    Attributes:
+        agent: Address of the agent whose target has the flow.
+        accepted: Whether the agent has said that its target holds it.
+        tried: Agents that were offered the opening.
+        sent_at: When the opening was last forwarded.
+        used_at: When the last packet came.
+    """
+
+    agent: str
+    accepted: bool
+    tried: set[str]
+    sent_at: float
+    used_at: float
+
+
+@attrs.define(slots=True)
+class Search:
+    """A question to several agents about who holds a flow.
+
+    Attributes:
+        waiting: Agents that have not answered.
+        started_at: When they were asked.
+    """
+
+    waiting: set[str]
+    started_at: float
+
+
+@attrs.define(slots=True)
+class Balancer:
+    """State and decisions of one balancer.
+
+    Attributes:
+        address: IP number of this balancer.
+        data_centre: Its data centre.
+        started_at: When it started, in seconds of the clock passed as `now`.
+        configuration: The operators' configuration, or None until known.
+        revision: Store revision of the newest change that is in force here.
+        closed_data_centres: Data centres that get nothing new.
+        stopping: Whether it was told to stop.
+        table: Targets.
+        flow_by_id: Cache of flows.
+        peer_heard_at: When each other balancer was last heard.
+        counts: Counters by name.
+    """
+
+    address: str
+    data_centre: str
+    started_at: float
+    configuration: routes.Configuration | None = None
+    revision: int = 0
+    closed_data_centres: frozenset[str] = frozenset()
+    stopping: bool = False
+    table: targets.TargetTable = attrs.field(factory=targets.TargetTable)
+    flow_by_id: dict[segments.FlowId, CachedFlow] = attrs.field(factory=dict)
+    search_by_id: dict[segments.FlowId, Search] = attrs.field(factory=dict)
+    peer_heard_at: dict[str, float] = attrs.field(factory=dict)
+    peer_revision: int = 0
+    counts: dict[str, int] = attrs.field(factory=dict)
+    _ticked_at: float | None = None
+    _peers_at: float = float("-inf")
+    _swept_at: float = 0.0
+    _greeted_at: dict[str, float] = attrs.field(factory=dict)
+
+    # Configuration and membership.
+
+    def configure(
+        self, configuration: routes.Configuration, *, revision: int
+    ) -> list[messages.Action]:
+        """Puts a configuration in force, unless a newer one is.
+
+        Args:
+            configuration: The configuration.
+            revision: Its revision in the store.
+        """
+        known = self.configuration
+        self.revision = max(self.revision, revision)
+        if known is not None and known.version >= configuration.version:
+            return []
+        self.configuration = configuration
+        return [
+            messages.Record(
+                "configuration_applied",
+                {
+                    "version": configuration.version,
+                    "previous": known.version if known else None,
+                    "revision": revision,
+                    "routes": len(configuration.route_by_endpoint),
+                },
+            )
+        ]
+
+    def close_data_centres(
+        self, names: frozenset[str], *, revision: int
+    ) -> list[messages.Action]:
+        """Sets the data centres whose targets get nothing new."""
+        self.revision = max(self.revision, revision)
+        if names == self.closed_data_centres:
+            return []
+        self.closed_data_centres = names
+        self._greeted_at.clear()
+        return [
+            messages.Record(
+                "data_centres_closed",
+                {"names": ",".join(sorted(names)), "revision": revision},
+            )
+        ]
+
+    def register(
+        self, address: str, service: str, data_centre: str
+    ) -> list[messages.Action]:
+        """Notes an agent's entry in the store."""
+        if address not in self.table.target_by_address:
+            self._greeted_at.pop(address, None)
+        self.table.register(address, service, data_centre)
+        return [
+            messages.Record(
+                "agent_registered", {"agent": address, "service": service}
+            )
+        ]
+
+    def unregister(self, address: str, *, now: float) -> list[messages.Action]:
+        """Notes that an agent's entry has left the store."""
+        self.table.unregister(address, now=now)
+        self._greeted_at.pop(address, None)
+        return [messages.Record("agent_unregistered", {"agent": address})]
+
+    def ready(self, *, now: float) -> bool:
+        """Returns whether routers should send packets here."""
+        if self.stopping or self.configuration is None:
+            return False
+        heard = [
+            target.silent_s(now) < targets.LOST_S
+            for target in self.table.target_by_address.values()
+        ]
+        if not any(heard):
+            return False
+        return all(heard) or now - self.started_at > START_GRACE_S
+
+    # Packets of clients.
+
+    def handle_packet(
+        self, segment: segments.Segment, *, now: float
+    ) -> list[messages.Action]:
+        """Forwards a client's packet."""
+        flow = self.flow_by_id.get(segment.flow_id)
+        if flow is not None:
+            flow.used_at = now
+        if segment.opening:
+            return self._open(segment, flow, now=now)
+        if flow is None:
+            if segment.resetting:
+                return []
+            return self._search(segment, frozenset(), now=now)
+        if self._lost(flow.agent, now=now):
+            self.flow_by_id.pop(segment.flow_id, None)
+            return self._reset(segment, "target_lost", agent=flow.agent)
+        return [
+            messages.Send(
+                flow.agent,
+                messages.Forward(
+                    self._service_of(flow.agent), False, segment.data
+                ),
+            )
+        ]
+
+    def _service_of(self, agent: str) -> str:
+        target = self.table.target_by_address.get(agent)
+        return target.service if target else ""
+
+    def _lost(self, agent: str, *, now: float) -> bool:
+        """Returns whether an agent and its target are gone for good."""
+        target = self.table.target_by_address.get(agent)
+        if target is not None and target.silent_s(now) <= targets.LOST_S:
+            return False
+        return self.table.mostly_heard(now=now)
+
+    def _open(
+        self,
+        segment: segments.Segment,
+        flow: CachedFlow | None,
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        if flow is not None:
+            answered_in_time = now - flow.sent_at < OPENING_ANSWER_S
+            if flow.accepted or answered_in_time:
+                return [
+                    messages.Send(
+                        flow.agent,
+                        messages.Forward(
+                            self._service_of(flow.agent), False, segment.data
+                        ),
+                    )
+                ]
+        return self._offer(segment, flow, now=now)
+
+    def _offer(
+        self,
+        segment: segments.Segment,
+        flow: CachedFlow | None,
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        """Offers an opening to the best target that hasn't been tried."""
+        configuration = self.configuration
+        if configuration is None:
+            if now - self.started_at > UNKNOWN_GRACE_S:
+                return self._reset(segment, "no_configuration")
+            return []
+        route = configuration.route_by_endpoint.get(segment.flow_id[2:])
+        if route is None:
+            return self._reset(segment, "no_route")
+        tried = flow.tried if flow is not None else set()
+        if len(tried) >= MAX_TRIES:
+            return self._reset(segment, "tries_spent")
+        draw = zlib.crc32(b"%d.%d.%d.%d" % segment.flow_id)
+        for service in routes.pick_service(route, draw):
+            settings = configuration.service_by_name.get(service)
+            target = self.table.choose(
+                service,
+                now=now,
+                data_centre=self.data_centre,
+                closed_data_centres=self.closed_data_centres,
+                max_flows=settings.max_flows if settings else 1,
+                excluded=frozenset(tried),
+                spread=draw,
+            )
+            if target is not None:
+                break
+        else:
+            return self._reject(segment, tried, now=now)
+        tried.add(target.address)
+        self.flow_by_id[segment.flow_id] = CachedFlow(
+            agent=target.address,
+            accepted=False,
+            tried=tried,
+            sent_at=now,
+            used_at=now,
+        )
+        return [
+            messages.Send(
+                target.address,
+                messages.Forward(service, False, segment.data),
+            ),
+            messages.Record(
+                "opening_forwarded",
+                {
+                    "flow": segments.flow_name(segment.flow_id),
+                    "agent": target.address,
+                    "service": service,
+                    "version": configuration.version,
+                    "load": round(target.load(), 2),
+                    "age_ms": round(1000 * min(target.silent_s(now), 999)),
+                    "try": len(tried),
+                },
+            ),
+        ]
+
+    def _reject(
+        self, segment: segments.Segment, tried: set[str], *, now: float
+    ) -> list[messages.Action]:
+        heard = any(
+            target.heard_at is not None
+            for target in self.table.target_by_address.values()
+        )
+        if not heard and now - self.started_at < UNKNOWN_GRACE_S:
+            return []
+        return self._reset(segment, "no_target", tried=len(tried))
+
+    def _reset(
+        self, segment: segments.Segment, reason: str, **fields: object
+    ) -> list[messages.Action]:
+        self._count(f"reset_{reason}")
+        self.flow_by_id.pop(segment.flow_id, None)
+        self.search_by_id.pop(segment.flow_id, None)
+        if segment.resetting:
+            return []
+        return [
+            messages.Reset(segment.flow_id, segment.acknowledged),
+            messages.Record(
+                "flow_reset",
+                {
+                    "flow": segments.flow_name(segment.flow_id),
+                    "reason": reason,
+                    "version": (
+                        self.configuration.version
+                        if self.configuration
+                        else None
+                    ),
+                    **fields,
+                },
+            ),
+        ]
+
+    def _search(
+        self,
+        segment: segments.Segment,
+        excluded: frozenset[str],
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        """Asks the agents of a route's services who holds a flow."""
+        search = self.search_by_id.get(segment.flow_id)
+        if search is not None and now - search.started_at < SEARCH_S:
+            return []
+        agents = self._candidates(segment) - excluded
+        if not agents:
+            if excluded and not self._uncertain(now):
+                return self._reset(segment, "flow_unknown")
+            return []
+        self.search_by_id[segment.flow_id] = Search(set(agents), now)
+        self._count("searches")
+        return [
+            messages.Send(
+                agent,
+                messages.Forward(self._service_of(agent), True, segment.data),
+            )
+            for agent in sorted(agents)
+        ]
+
+    def _candidates(self, segment: segments.Segment) -> set[str]:
+        """Returns the agents whose targets may hold a flow."""
+        route = None
+        if self.configuration is not None:
+            route = self.configuration.route_by_endpoint.get(
+                segment.flow_id[2:]
+            )
+        if route is None:
+            return set(self.table.target_by_address)
+        services = {share.service for share in route.shares}
+        return {
+            target.address
+            for target in self.table.target_by_address.values()
+            if not target.service or target.service in services
+        }
+
+    def _uncertain(self, now: float) -> bool:
+        """Returns whether an agent may exist that isn't in the table yet."""
+        return now - self.started_at < START_GRACE_S
+
+    # Messages of agents and balancers.
+
+    def handle_message(
+        self, sender: str, message: messages.Message, *, now: float
+    ) -> list[messages.Action]:
+        """Takes a message of an agent or another balancer."""
+        match message:
+            case messages.Announcement():
+                return self._announced(sender, message, now=now)
+            case messages.FlowHeld():
+                self.search_by_id.pop(message.flow_id, None)
+                self.flow_by_id[message.flow_id] = CachedFlow(
+                    agent=sender,
+                    accepted=True,
+                    tried={sender},
+                    sent_at=now,
+                    used_at=now,
+                )
+                return []
+            case messages.PeerStatus():
+                self.peer_heard_at[sender] = now
+                self.peer_revision = max(self.peer_revision, message.revision)
+                for agent in message.agents:
+                    self._meet(agent)
+                return []
+            case _:
+                self._count("unexpected_messages")
+                return []
+
+    def handle_refusal(
+        self,
+        sender: str,
+        reason: messages.Refusal,
+        segment: segments.Segment,
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        """Offers an opening that an agent handed back to another target."""
+        self._count(f"refused_{reason.name.lower()}")
+        target = self.table.target_by_address.get(sender)
+        if target is not None:
+            target.paused_until = now + targets.FULL_PAUSE_S
+        flow = self.flow_by_id.get(segment.flow_id)
+        if flow is None:
+            flow = CachedFlow(sender, False, {sender}, now, now)
+        elif flow.agent != sender:
+            return []  # another target was asked meanwhile
+        return [
+            messages.Record(
+                "opening_refused",
+                {
+                    "flow": segments.flow_name(segment.flow_id),
+                    "agent": sender,
+                    "reason": reason.name.lower(),
+                },
+            ),
+            *self._offer(segment, flow, now=now),
+        ]
+
+    def handle_missing(
+        self, sender: str, segment: segments.Segment, *, now: float
+    ) -> list[messages.Action]:
+        """Looks elsewhere for a flow that an agent's target doesn't hold."""
+        flow = self.flow_by_id.get(segment.flow_id)
+        if flow is not None and flow.agent == sender:
+            del self.flow_by_id[segment.flow_id]
+            self.search_by_id.pop(segment.flow_id, None)
+            return self._search(segment, frozenset({sender}), now=now)
+        search = self.search_by_id.get(segment.flow_id)
+        if search is None or flow is not None:
+            return []
+        search.waiting.discard(sender)
+        waiting = [
+            agent
+            for agent in search.waiting
+            if not self._lost(agent, now=now)
+        ]
+        if waiting or self._uncertain(now):
+            return []
+        return self._reset(segment, "flow_unknown")
+
+    def _announced(
+        self,
+        sender: str,
+        announcement: messages.Announcement,
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        for peer in announcement.balancers:
+            if peer != self.address:
+                self.peer_heard_at.setdefault(peer, now)
+        changed = self.table.announce(sender, announcement, now=now)
+        if not changed:
+            return []
+        return [
+            messages.Record(
+                "target_announced",
+                {
+                    "agent": sender,
+                    "service": announcement.service,
+                    "state": announcement.state.name.lower(),
+                    "incarnation": announcement.incarnation,
+                    "sequence": announcement.sequence,
+                },
+            )
+        ]
+
+    def _meet(self, agent: str) -> None:
+        """Adds an agent that another balancer has heard of."""
+        if agent not in self.table.target_by_address:
+            self.table.target_by_address[agent] = targets.Target(agent)
+
+    # Time.
+
+    def tick(self, *, now: float) -> list[messages.Action]:
+        """Does what is due; to be called every `TICK_S`."""
+        actions: list[messages.Action] = []
+        if self._ticked_at is not None:
+            pause_s = now - self._ticked_at - TICK_S
+            if pause_s > PAUSE_S:
+                self.table.excuse_pause(pause_s)
+                actions.append(
+                    messages.Record("paused", {"seconds": round(pause_s, 2)})
+                )
+        self._ticked_at = now
+        actions += self._greetings(now)
+        if now - self._peers_at >= PEER_INTERVAL_S:
+            self._peers_at = now
+            actions += self._peer_statuses(now)
+        if now - self._swept_at >= FLOW_SWEEP_S:
+            self._swept_at = now
+            self._sweep(now)
+        lost = self.table.forget_lost(now=now, after_s=AGENT_FORGOTTEN_S)
+        for address in lost:
+            self._greeted_at.pop(address, None)
+            actions.append(
+                messages.Record("agent_forgotten", {"agent": address})
+            )
+        return actions
+
+    def greet(self, address: str, *, now: float) -> messages.Send:
+        """Returns the greeting of an agent."""
+        self._greeted_at[address] = now
+        target = self.table.target_by_address.get(address)
+        service = None
+        if self.configuration is not None and target is not None:
+            service = self.configuration.service_by_name.get(target.service)
+        return messages.Send(
+            address,
+            messages.Greeting(
+                revision=self.revision,
+                evacuated=(
+                    target is not None
+                    and target.data_centre in self.closed_data_centres
+                ),
+                cold_per_second=service.cold_per_second if service else 0.0,
+                registered=target is not None and target.registered,
+            ),
+        )
+
+    def _greetings(self, now: float) -> list[messages.Action]:
+        actions: list[messages.Action] = []
+        for address, target in self.table.target_by_address.items():
+            interval_s = (
+                GREETING_INTERVAL_S
+                if target.silent_s(now) < targets.LOST_S
+                else FIRST_GREETING_INTERVAL_S
+            )
+            greeted_at = self._greeted_at.get(address, float("-inf"))
+            if now - greeted_at >= interval_s:
+                actions.append(self.greet(address, now=now))
+        return actions
+
+    def _peer_statuses(self, now: float) -> list[messages.Action]:
+        agents = tuple(
+            target.address
+            for target in self.table.target_by_address.values()
+            if target.silent_s(now) < targets.LOST_S
+        )
+        status = messages.PeerStatus(self.revision, agents)
+        for address, heard_at in list(self.peer_heard_at.items()):
+            if now - heard_at > PEER_FORGOTTEN_S:
+                del self.peer_heard_at[address]
+        return [
+            messages.Send(address, status) for address in self.peer_heard_at
+        ]
+
+    def _sweep(self, now: float) -> None:
+        """Forgets flows and searches that are no longer used."""
+        for flow_id, flow in list(self.flow_by_id.items()):
+            if now - flow.used_at > FLOW_CACHE_S:
+                del self.flow_by_id[flow_id]
+        for flow_id, search in list(self.search_by_id.items()):
+            if now - search.started_at > FLOW_SWEEP_S:
+                del self.search_by_id[flow_id]
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
--- /dev/null
+++ b/godwitturn/core/transparent/messages.py
@@ -0,0 +1,222 @@
+"""Messages between balancers and agents, and the actions of both."""
+
+import enum
+
+import attrs
+
+from godwitturn.core.transparent import segments
+
+
+class Refusal(enum.IntEnum):
+    """Why an agent did not take an opening."""
+
+    DRAINING = 1
+    EVACUATED = 2
+    COLD = 3
+    FULL = 4
+    DOWN = 5
+    WRONG_SERVICE = 6
+
+
+class TargetState(enum.IntEnum):
+    """What an agent says of its target."""
+
+    UNKNOWN = 0
+    READY = 1
+    DRAINING = 2
+    DOWN = 3
+
+
+@attrs.define(frozen=True, slots=True)
+class Forward:
+    """A client's packet on its way from a balancer to an agent.
+
+    Attributes:
+        service: Name of the service that the flow belongs to, empty if the
+            balancer doesn't know it.
+        search: Whether the balancer asks several agents who holds the flow.
+        data: The packet.
+    """
+
+    service: str
+    search: bool
+    data: bytes
+
+
+@attrs.define(frozen=True, slots=True)
+class Refused:
+    """An agent hands an opening back.
+
+    Attributes:
+        reason: Why.
+        data: The packet.
+    """
+
+    reason: Refusal
+    data: bytes
+
+
+@attrs.define(frozen=True, slots=True)
+class FlowMissing:
+    """The target beside the sender doesn't hold a packet's flow.
+
+    Attributes:
+        data: The packet.
+    """
+
+    data: bytes
+
+
+@attrs.define(frozen=True, slots=True)
+class FlowHeld:
+    """The target beside the sender holds a flow.
+
+    Attributes:
+        flow_id: The flow.
+    """
+
+    flow_id: segments.FlowId
+
+
+@attrs.define(frozen=True, slots=True)
+class Announcement:
+    """What an agent says of its target and itself.
+
+    Attributes:
+        node: Name of the agent's VM.
+        service: Service of the target.
+        data_centre: Data centre of both.
+        run: Random number of the agent's run.
+        sequence: Count of announcements in this run.
+        incarnation: Identity of the target's present start, empty while the
+            agent hasn't heard of it.
+        state: State of the target.
+        slots: Requests that the target runs at the same time.
+        flows: Flows open at the target.
+        work: Flows with a request that has no answer yet.
+        cold_ms: Milliseconds for which the target stays cold.
+        balancers: Addresses of the balancers that the agent knows.
+    """
+
+    node: str
+    service: str
+    data_centre: str
+    run: int
+    sequence: int
+    incarnation: str
+    state: TargetState
+    slots: int
+    flows: int
+    work: int
+    cold_ms: int
+    balancers: tuple[str, ...]
+
+
+@attrs.define(frozen=True, slots=True)
+class Greeting:
+    """A balancer makes itself known to an agent, with what concerns it.
+
+    Attributes:
+        revision: Store revision of the configuration behind the other fields,
+            0 if the balancer has none.
+        evacuated: Whether the agent's data centre is to get nothing new.
+        cold_per_second: Requests a second that a cold target bears.
+        registered: Whether the agent's entry is in the store.
+    """
+
+    revision: int
+    evacuated: bool
+    cold_per_second: float
+    registered: bool
+
+
+@attrs.define(frozen=True, slots=True)
+class PeerStatus:
+    """A balancer tells another one what it knows.
+
+    Attributes:
+        revision: Store revision of its configuration, 0 if it has none.
+        agents: Addresses of the agents that it has heard of lately.
+    """
+
+    revision: int
+    agents: tuple[str, ...]
+
+
+Message = (
+    Forward
+    | Refused
+    | FlowMissing
+    | FlowHeld
+    | Announcement
+    | Greeting
+    | PeerStatus
+)
+
+
+@attrs.define(frozen=True, slots=True)
+class Send:
+    """Send a message to a daemon.
+
+    Attributes:
+        address: IP number of the daemon.
+        message: The message.
+    """
+
+    address: str
+    message: Message
+
+
+@attrs.define(frozen=True, slots=True)
+class Reset:
+    """Reset a client's flow.
+
+    Attributes:
+        flow_id: The flow.
+        sequence: A sequence number that the client accepts.
+    """
+
+    flow_id: segments.FlowId
+    sequence: int
+
+
+@attrs.define(frozen=True, slots=True)
+class Deliver:
+    """Give a packet to the target on this machine.
+
+    Attributes:
+        data: The packet.
+        tag: Mark by which the packet is known if the target returns it.
+    """
+
+    data: bytes
+    tag: int
+
+
+@attrs.define(frozen=True, slots=True)
+class Answer:
+    """Send a target's packet to the client.
+
+    Attributes:
+        flow_id: The flow.
+        data: The packet.
+    """
+
+    flow_id: segments.FlowId
+    data: bytes
+
+
+@attrs.define(frozen=True, slots=True)
+class Record:
+    """Write a line to the log.
+
+    Attributes:
+        event: Name of the event, as in the catalogue.
+        fields: What decided it, in the order written.
+    """
+
+    event: str
+    fields: dict[str, object]
+
+
+Action = Send | Reset | Deliver | Answer | Record
--- /dev/null
+++ b/godwitturn/core/transparent/mirror.py
@@ -0,0 +1,209 @@
+"""A copy of a part of the platform's store, kept up by watching it."""
+
+import enum
+
+import attrs
+
+RETRY_FIRST_S = 0.1
+RETRY_LAST_S = 1.0
+
+
+@attrs.define(frozen=True, slots=True)
+class Item:
+    """A key of the store.
+
+    Attributes:
+        key: The key.
+        value: Its value, None if the key was deleted.
+        revision: Store revision of the last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@attrs.define(frozen=True, slots=True)
+class ReadPage:
+    """Read keys of a prefix.
+
+    Attributes:
+        prefix: The prefix.
+        after: Last key of the page before, empty for the first page.
+    """
+
+    prefix: str
+    after: str
+
+
+@attrs.define(frozen=True, slots=True)
+class Watch:
+    """Wait for changes of a prefix.
+
+    Attributes:
+        prefix: The prefix.
+        after: Revision after which changes are wanted.
+        wait_s: Seconds that the store may take if nothing changes.
+    """
+
+    prefix: str
+    after: int
+    wait_s: float
+
+
+@attrs.define(frozen=True, slots=True)
+class Page:
+    """Answer to `ReadPage`.
+
+    Attributes:
+        items: The keys.
+        more: Whether other pages follow.
+        revision: The store's revision.
+    """
+
+    items: tuple[Item, ...]
+    more: bool
+    revision: int
+
+
+@attrs.define(frozen=True, slots=True)
+class Changes:
+    """Answer to `Watch`.
+
+    Attributes:
+        items: The changes in order.
+        revision: Revision from which to go on.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class Failure(enum.Enum):
+    """Why a call to the store gave no result."""
+
+    HISTORY_GONE = "history_gone"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    MALFORMED = "malformed"
+
+
+@attrs.define(slots=True)
+class Mirror:
+    """State of one mirrored prefix.
+
+    Attributes:
+        prefix: The prefix.
+        wait_s: Seconds that a watch waits.
+        item_by_key: The keys, as of `revision`.
+        revision: Store revision of the copy, 0 before the first one.
+        synced: Whether a whole copy has been read since the start.
+        failures: Calls that failed since the last success.
+    """
+
+    prefix: str
+    wait_s: float
+    item_by_key: dict[str, Item] = attrs.field(factory=dict)
+    revision: int = 0
+    synced: bool = False
+    failures: int = 0
+    _reading: bool = True
+    _page_after: str = ""
+    _read: dict[str, Item] = attrs.field(factory=dict)
+    _read_revision: int = 0
+
+    def next_call(self) -> ReadPage | Watch:
+        """Returns the call to make next."""
+        if self._reading:
+            return ReadPage(self.prefix, self._page_after)
+        return Watch(self.prefix, self.revision, self.wait_s)
+
+    def read_again(self) -> None:
+        """Makes the next call read the whole prefix."""
+        self._reading = True
+        self._page_after = ""
+        self._read = {}
+        self._read_revision = 0
+
+    def retry_delay_s(self, draw: float) -> float:
+        """Returns the seconds to wait before the next call.
+
+        Args:
+            draw: A number drawn evenly from 0 to 1, so that daemons that
+                failed together don't return together.
+        """
+        if not self.failures:
+            return 0.0
+        delay_s = RETRY_FIRST_S * 2 ** min(self.failures - 1, 8)
+        return min(RETRY_LAST_S, delay_s) * (0.5 + 0.5 * draw)
+
+    def take(self, result: Page | Changes | Failure) -> list[Item]:
+        """Takes the answer to the last call.
+
+        Returns:
+            The changes, in order; deleted keys have the value None.
+        """
+        match result:
+            case Page():
+                self.failures = 0
+                return self._take_page(result)
+            case Changes():
+                self.failures = 0
+                return self._take_changes(result)
+            case Failure.HISTORY_GONE:
+                self.read_again()
+            case _:
+                self.failures += 1
+                # The copy may be older than what a watch can still deliver.
+                self.read_again()
+        return []
+
+    def _take_page(self, page: Page) -> list[Item]:
+        if not self._read_revision:
+            # Pages aren't one snapshot; the watch repeats what changed since
+            # the first.
+            self._read_revision = page.revision
+        for item in page.items:
+            self._read[item.key] = item
+        if page.more and page.items:
+            self._page_after = page.items[-1].key
+            return []
+        read, revision = self._read, self._read_revision
+        self.read_again()
+        self._reading = False
+        if revision < self.revision:
+            # An answer from a store that lags behind what is known.
+            self.read_again()
+            self.failures += 1
+            return []
+        changes = [
+            item
+            for key, item in read.items()
+            if key not in self.item_by_key
+            or self.item_by_key[key].revision < item.revision
+        ]
+        changes += [
+            Item(key, None, revision)
+            for key in self.item_by_key
+            if key not in read
+        ]
+        self.item_by_key = read
+        self.revision = revision
+        self.synced = True
+        return changes
+
+    def _take_changes(self, changes: Changes) -> list[Item]:
+        taken = []
+        for item in changes.items:
+            known = self.item_by_key.get(item.key)
+            if known is not None and known.revision >= item.revision:
+                continue
+            if item.value is None:
+                if known is None:
+                    continue
+                del self.item_by_key[item.key]
+            else:
+                self.item_by_key[item.key] = item
+            taken.append(item)
+        self.revision = max(self.revision, changes.revision)
+        return taken
--- /dev/null
+++ b/godwitturn/core/transparent/registration.py
@@ -0,0 +1,155 @@
+"""Keeps an agent's entry in the platform's store under a lease."""
+
+import enum
+
+import attrs
+
+LEASE_S = 10.0
+# A third of the lease, so that two renewals may fail.
+RENEWAL_S = LEASE_S / 3
+RETRY_FIRST_S = 0.2
+# Entries are to be back within two seconds of the store's return.
+RETRY_LAST_S = 1.0
+# Balancers may not have seen a new entry yet when they say it is missing.
+REPUT_DELAY_S = 1.0
+
+
+@attrs.define(frozen=True, slots=True)
+class GrantLease:
+    """Ask for a lease.
+
+    Attributes:
+        seconds: How long it runs without renewal.
+    """
+
+    seconds: float
+
+
+@attrs.define(frozen=True, slots=True)
+class KeepLease:
+    """Renew a lease.
+
+    Attributes:
+        lease: Its id.
+    """
+
+    lease: int
+
+
+@attrs.define(frozen=True, slots=True)
+class EndLease:
+    """End a lease, with its keys.
+
+    Attributes:
+        lease: Its id.
+    """
+
+    lease: int
+
+
+@attrs.define(frozen=True, slots=True)
+class PutEntry:
+    """Write a key under a lease.
+
+    Attributes:
+        key: The key.
+        value: Its value.
+        lease: The lease.
+    """
+
+    key: str
+    value: bytes
+    lease: int
+
+
+Call = GrantLease | KeepLease | EndLease | PutEntry
+
+
+@attrs.define(frozen=True, slots=True)
+class Granted:
+    """A lease was granted.
+
+    Attributes:
+        lease: Its id.
+    """
+
+    lease: int
+
+
+class Outcome(enum.Enum):
+    """How another call ended."""
+
+    DONE = "done"
+    LEASE_GONE = "lease_gone"
+    FAILED = "failed"
+
+
+@attrs.define(slots=True)
+class Registration:
+    """State of an agent's entry.
+
+    Attributes:
+        key: Key of the entry.
+        value: Its value.
+        lease: The lease, 0 if there is none.
+        written: Whether the entry was written under the lease.
+        due_at: When the next call is due, in seconds.
+    """
+
+    key: str
+    value: bytes
+    lease: int = 0
+    written: bool = False
+    due_at: float = 0.0
+    written_at: float = float("-inf")
+    failures: int = 0
+
+    def next_call(self, *, now: float) -> Call | None:
+        """Returns the call that is due, or None."""
+        if now < self.due_at:
+            return None
+        if not self.lease:
+            return GrantLease(LEASE_S)
+        if not self.written:
+            return PutEntry(self.key, self.value, self.lease)
+        return KeepLease(self.lease)
+
+    def missing(self, *, now: float) -> None:
+        """Takes a balancer's word that the entry isn't in the store."""
+        if self.written and now - self.written_at > REPUT_DELAY_S:
+            self.written = False
+            self.due_at = now
+
+    def take(
+        self, call: Call, result: Granted | Outcome, *, now: float, draw: float
+    ) -> None:
+        """Takes the result of a call.
+
+        Args:
+            call: The call.
+            result: Its result.
+            now: Seconds.
+            draw: A number drawn evenly from 0 to 1, to spread retries.
+        """
+        match call, result:
+            case _, Outcome.FAILED:
+                self.failures += 1
+                delay_s = RETRY_FIRST_S * 2 ** min(self.failures - 1, 8)
+                delay_s = min(RETRY_LAST_S, delay_s)
+                self.due_at = now + delay_s * (0.5 + 0.5 * draw)
+                return
+            case _, Granted(lease):
+                self.lease = lease
+                self.written = False
+                self.due_at = now
+            case _, Outcome.LEASE_GONE:
+                self.lease = 0
+                self.written = False
+                self.due_at = now
+            case PutEntry(), _:
+                self.written = True
+                self.written_at = now
+                self.due_at = now + RENEWAL_S
+            case _:
+                self.due_at = now + RENEWAL_S
+        self.failures = 0
--- /dev/null
+++ b/godwitturn/core/transparent/segments.py
@@ -0,0 +1,47 @@
+"""One packet of a flow, as the decisions see it."""
+
+import attrs
+
+# Client address, client port, route address, route port; addresses as
+# unsigned 32-bit integers. A tuple, because it is the key of hot tables.
+FlowId = tuple[int, int, int, int]
+
+
+@attrs.define(slots=True)
+class Segment:
+    """A packet of a flow in either direction.
+
+    Attributes:
+        flow_id: The flow, the same for both directions.
+        opening: Whether the packet asks to open a flow.
+        accepting: Whether the packet accepts an opening.
+        ending: Whether its sender has sent all its data.
+        resetting: Whether it breaks the flow off.
+        returned: Whether the target handed it back unprocessed.
+        acknowledged: Sequence number that its sender expects next. Openings
+            count their copies here, starting from 0.
+        size: Bytes of data.
+        tag: Our mark on a packet given to a target, 0 if there is none.
+        data: The packet as received, header included.
+    """
+
+    flow_id: FlowId
+    opening: bool
+    accepting: bool
+    ending: bool
+    resetting: bool
+    returned: bool
+    acknowledged: int
+    size: int
+    tag: int
+    data: bytes
+
+
+def flow_name(flow_id: FlowId) -> str:
+    """Returns a flow's id as it stands in logs: client, then route."""
+    client, client_port, address, port = flow_id
+    return f"{_dotted(client)}:{client_port}-{_dotted(address)}:{port}"
+
+
+def _dotted(number: int) -> str:
+    return ".".join(str(part) for part in number.to_bytes(4, "big"))
--- /dev/null
+++ b/godwitturn/core/transparent/targets.py
@@ -0,0 +1,217 @@
+"""A balancer's table of targets, and the choice among them."""
+
+import collections
+import zlib
+
+import attrs
+
+from godwitturn.core.transparent import messages
+
+# Agents announce four times a second; three missed in a row are more than
+# the loss of single datagrams.
+SILENT_S = 0.8
+# An agent restarts in about a second; flows are given up only after that.
+LOST_S = 2.5
+# An announcement sent before an opening arrived can't count it. One way
+# between data centres takes a few milliseconds.
+REPORT_DELAY_S = 0.03
+# A target that refused an opening isn't offered another one for this long,
+# unless its announcement says otherwise.
+FULL_PAUSE_S = 0.25
+# How many flows' worth of load a cold target counts as carrying already.
+COLD_LOAD = 4.0
+
+
+@attrs.define(slots=True)
+class Target:
+    """One target, known by the address of its agent.
+
+    Attributes:
+        address: IP number of the agent.
+        service: Service of the target, empty until known.
+        data_centre: Data centre of the target.
+        registered: Whether the store holds the agent's entry.
+        heard_at: When the agent last said something, None if never.
+        announcement: The newest announcement, if there is one.
+        paused_until: Openings are offered elsewhere until then.
+        opened_at: Times of openings sent and perhaps not yet reported.
+    """
+
+    address: str
+    service: str = ""
+    data_centre: str = ""
+    registered: bool = False
+    heard_at: float | None = None
+    announcement: messages.Announcement | None = None
+    paused_until: float = 0.0
+    opened_at: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=256)
+    )
+
+    def silent_s(self, now: float) -> float:
+        """Returns the seconds since the agent was last heard."""
+        if self.heard_at is None:
+            return float("inf")
+        return now - self.heard_at
+
+    def load(self) -> float:
+        """Returns the flows a slot, with openings that aren't reported."""
+        if self.announcement is None:
+            return 0.0
+        cold = COLD_LOAD if self.announcement.cold_ms > 0 else 0.0
+        flows = self.announcement.flows + len(self.opened_at) + cold
+        return flows / max(1, self.announcement.slots)
+
+
+@attrs.define(slots=True)
+class TargetTable:
+    """Targets by the address of their agent."""
+
+    target_by_address: dict[str, Target] = attrs.field(factory=dict)
+
+    def register(self, address: str, service: str, data_centre: str) -> Target:
+        """Notes an agent's entry in the store and returns its target."""
+        target = self.target_by_address.setdefault(address, Target(address))
+        target.registered = True
+        if target.announcement is None:
+            target.service = service
+            target.data_centre = data_centre
+        return target
+
+    def unregister(self, address: str, *, now: float) -> None:
+        """Notes that the store lost an agent's entry.
+
+        An agent that is heard directly stays: its entry may have lapsed while
+        it could not reach the store.
+        """
+        target = self.target_by_address.get(address)
+        if target is None:
+            return
+        target.registered = False
+        if target.silent_s(now) > LOST_S:
+            del self.target_by_address[address]
+
+    def announce(
+        self,
+        address: str,
+        announcement: messages.Announcement,
+        *,
+        now: float,
+    ) -> bool:
+        """Takes an announcement.
+
+        Returns:
+            Whether the target changed in state, service or incarnation.
+        """
+        target = self.target_by_address.setdefault(address, Target(address))
+        known = target.announcement
+        if (
+            known is not None
+            and known.run == announcement.run
+            and known.sequence >= announcement.sequence
+        ):
+            return False
+        target.heard_at = now
+        target.announcement = announcement
+        target.service = announcement.service
+        target.data_centre = announcement.data_centre
+        while target.opened_at and target.opened_at[0] < now - REPORT_DELAY_S:
+            target.opened_at.popleft()
+        return (
+            known is None
+            or known.state != announcement.state
+            or known.service != announcement.service
+            or known.incarnation != announcement.incarnation
+        )
+
+    def forget_lost(self, *, now: float, after_s: float) -> list[str]:
+        """Drops targets without entry that have been silent for long.
+
+        Returns:
+            Their addresses.
+        """
+        lost = [
+            target.address
+            for target in self.target_by_address.values()
+            if not target.registered and target.silent_s(now) > after_s
+        ]
+        for address in lost:
+            del self.target_by_address[address]
+        return lost
+
+    def mostly_heard(self, *, now: float) -> bool:
+        """Returns whether more than half of the agents were heard lately.
+
+        If not, the silence of one of them says nothing about its VM: this
+        balancer may be the one that is cut off.
+        """
+        heard = sum(
+            target.silent_s(now) < SILENT_S
+            for target in self.target_by_address.values()
+        )
+        return 2 * heard > len(self.target_by_address)
+
+    def excuse_pause(self, pause_s: float) -> None:
+        """Discounts a pause of this process from all silences."""
+        for target in self.target_by_address.values():
+            if target.heard_at is not None:
+                target.heard_at += pause_s
+
+    def choose(
+        self,
+        service: str,
+        *,
+        now: float,
+        data_centre: str,
+        closed_data_centres: frozenset[str],
+        max_flows: int,
+        excluded: frozenset[str],
+        spread: int,
+    ) -> Target | None:
+        """Chooses the target for an opening: the one with the least load.
+
+        Args:
+            service: The service.
+            now: Seconds.
+            data_centre: Preferred among targets of equal load.
+            closed_data_centres: Data centres that get nothing new.
+            max_flows: Flows that one target holds.
+            excluded: Addresses that were tried already.
+            spread: Number of the flow; it settles what is still equal.
+
+        Returns:
+            The target, or None if none may take the opening.
+        """
+        ranked = []
+        for target in self.target_by_address.values():
+            if (
+                target.service != service
+                or target.address in excluded
+                or target.data_centre in closed_data_centres
+                or target.announcement is None
+                or target.announcement.state
+                not in (
+                    messages.TargetState.READY,
+                    messages.TargetState.UNKNOWN,
+                )
+                or target.announcement.flows >= max_flows
+                or target.silent_s(now) > LOST_S
+            ):
+                continue
+            doubtful = (
+                target.silent_s(now) > SILENT_S or target.paused_until > now
+            )
+            ranked.append(
+                (
+                    doubtful,
+                    target.load(),
+                    target.data_centre != data_centre,
+                    zlib.crc32(b"%d/%s" % (spread, target.address.encode())),
+                    target,
+                )
+            )
+        if not ranked:
+            return None
+        target = min(ranked, key=lambda row: row[:4])[4]
+        target.opened_at.append(now)
+        return target
--- a/godwitturn/daemons/admin.py
+++ b/godwitturn/daemons/admin.py
@@ -13,8 +13,8 @@
 from godwitturn.daemons import control
 from godwitturn.daemons import runtime as runtimes
 from godwitturn.metrics import registry as registries
-from godwitturn.platform import repository as repositories
-from godwitturn.platform import store
+from godwitturn.etcd import repository as repositories
+from godwitturn.etcd import store
 from godwitturn.settings import schema
 
 
--- a/godwitturn/daemons/control.py
+++ b/godwitturn/daemons/control.py
@@ -22,8 +22,8 @@
 from godwitturn.daemons import directory
 from godwitturn.daemons import runtime as runtimes
 from godwitturn.daemons import store_feed
-from godwitturn.platform import repository
-from godwitturn.platform import store
+from godwitturn.etcd import repository
+from godwitturn.etcd import store
 from godwitturn.settings import schema
 
 # A connection without an answer is closed after this time, so that random
--- a/godwitturn/daemons/directory.py
+++ b/godwitturn/daemons/directory.py
@@ -17,11 +17,11 @@
 from godwitturn.core import documents
 from godwitturn.core import events
 from godwitturn.daemons import clock
-from godwitturn.platform import leases
-from godwitturn.platform import operations
-from godwitturn.platform import repository
-from godwitturn.platform import store
-from godwitturn.platform import wire
+from godwitturn.etcd import leases
+from godwitturn.etcd import operations
+from godwitturn.etcd import repository
+from godwitturn.etcd import store
+from godwitturn.etcd import wire
 
 POLL_S = 1.0
 
--- a/godwitturn/daemons/store_feed.py
+++ b/godwitturn/daemons/store_feed.py
@@ -9,9 +9,9 @@
 from godwitturn.core import control_events
 from godwitturn.core import events
 from godwitturn.daemons import clock
-from godwitturn.platform import repository
-from godwitturn.platform import store
-from godwitturn.platform import watch
+from godwitturn.etcd import repository
+from godwitturn.etcd import store
+from godwitturn.etcd import watch
 
 # Six confirmations fit into the 3 s after which a view is fenced.
 CONFIRM_INTERVAL_S = 0.5
--- /dev/null
+++ b/godwitturn/etcd/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value store."""
--- a/godwitturn/platform/leases.py
+++ b/godwitturn/etcd/leases.py
@@ -13,9 +13,9 @@
 import attrs
 from returns import result as results
 
-from godwitturn.platform import failures
-from godwitturn.platform import store
-from godwitturn.platform import wire
+from godwitturn.etcd import failures
+from godwitturn.etcd import store
+from godwitturn.etcd import wire
 
 # Subtracted from the lease's TTL: the clocks of holder and store may run at
 # different speeds, and 10% is far above the drift of any usable clock.
--- a/godwitturn/platform/operations.py
+++ b/godwitturn/etcd/operations.py
@@ -9,8 +9,8 @@
 import trio
 
 from godwitturn.core import write_operation
-from godwitturn.platform import failures
-from godwitturn.platform import store
+from godwitturn.etcd import failures
+from godwitturn.etcd import store
 
 WriteVerdict = write_operation.WriteVerdict
 
--- a/godwitturn/platform/repository.py
+++ b/godwitturn/etcd/repository.py
@@ -9,9 +9,9 @@
 from returns import result as results
 
 from godwitturn.core import configuration as configurations
-from godwitturn.platform import failures
-from godwitturn.platform import operations
-from godwitturn.platform import store
+from godwitturn.etcd import failures
+from godwitturn.etcd import operations
+from godwitturn.etcd import store
 
 ROOT = "/godwitturn"
 # Lease keys, which hold no document.
--- a/godwitturn/platform/watch.py
+++ b/godwitturn/etcd/watch.py
@@ -10,8 +10,8 @@
 import httpx
 import trio
 
-from godwitturn.platform import failures
-from godwitturn.platform import wire
+from godwitturn.etcd import failures
+from godwitturn.etcd import wire
 
 FIRST_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
--- a/godwitturn/platform/wire.py
+++ b/godwitturn/etcd/wire.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from godwitturn.platform import failures
+from godwitturn.etcd import failures
 
 Json = dict[str, Any]
 
--- a/godwitturn/platform/__init__.py
+++ b/godwitturn/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Client of the platform's key-value store."""
+"""Adapter to the users' platform: its names, formats and calls.
+
+Nothing here decides; each name is decoded once into the product's types.
+"""
--- /dev/null
+++ b/godwitturn/platform/agent.py
@@ -0,0 +1,230 @@
+"""Program of an agent on the platform, beside one target."""
+
+import random
+import signal
+import sys
+
+from godwitturn.core.transparent import agent as agents
+from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import registration
+from godwitturn.daemons import http_client
+from godwitturn.daemons import http_server
+from godwitturn.daemons import reactor
+from godwitturn.logs import lines
+from godwitturn.platform import channels
+from godwitturn.platform import documents
+from godwitturn.platform import packets
+from godwitturn.platform import settings as settings_module
+from godwitturn.platform import store
+
+LOG_INTERVAL_S = 0.2
+_INSTANCES = "/instances/"
+
+
+class AgentProgram:
+    """Joins sockets, the store and the decisions of an agent."""
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        if (
+            settings.target is None
+            or settings.from_target is None
+            or settings.control is None
+        ):
+            raise settings_module.SettingsError(
+                "app, listen.outbound and listen.control are needed"
+            )
+        self.settings = settings
+        self.target = settings.target
+        self.loop = reactor.Reactor()
+        self.log = lines.LineLog(settings.node)
+        self.draw = random.Random()
+        self.core = agents.Agent(
+            node=settings.node,
+            service=settings.service,
+            data_centre=settings.data_centre,
+            run=self.draw.getrandbits(48),
+            heartbeat_interval_s=settings.heartbeat_s,
+        )
+        self.clients = channels.DatagramSocket(
+            self.loop, settings.packets, lambda data, sender: None
+        )
+        self.target_socket = channels.DatagramSocket(
+            self.loop, settings.from_target, self.target_packet_received
+        )
+        self.target_socket.unreachable = self.target_unreachable
+        self.peers = channels.PeerChannel(
+            self.loop,
+            (settings.address, settings.peer_port),
+            self.message_received,
+            self.malformed,
+        )
+        http_server.HttpServer(self.loop, settings.control, self.answer)
+        http_server.HttpServer(self.loop, settings.readiness, self.answer)
+        self.registration = registration.Registration(
+            documents.AGENT_PREFIX + settings.address,
+            documents.agent_entry(
+                settings.address, settings.service, settings.data_centre
+            ),
+        )
+        self.store = store.Store(
+            http_client.HttpClient(self.loop, settings.store)
+        )
+        self.store_busy = False
+        for seed in settings.seeds:
+            self.core.balancer_heard_at[seed] = self.loop.now
+
+    def register(self) -> None:
+        """Makes the store call that is due, if there is one."""
+        call = self.registration.next_call(now=self.loop.now)
+        if call is None or self.store_busy:
+            return
+        self.store_busy = True
+
+        def done(result: registration.Granted | registration.Outcome) -> None:
+            self.store_busy = False
+            failures = self.registration.failures
+            self.registration.take(
+                call, result, now=self.loop.now, draw=self.draw.random()
+            )
+            if result == registration.Outcome.FAILED:
+                self.record(
+                    "store_call_failed", call=type(call).__name__
+                )
+            elif failures or not isinstance(call, registration.KeepLease):
+                self.record(
+                    "registration",
+                    call=type(call).__name__,
+                    result=str(result),
+                )
+            self.register()
+
+        self.store.write(call, done)
+
+    def target_packet_received(self, data: bytes, sender: str) -> None:
+        """Takes a packet that the target sends or returns."""
+        segment = packets.decode(data, from_target=True)
+        if segment is None:
+            self.malformed(sender)
+            return
+        self.perform(
+            self.core.handle_target_packet(segment, now=self.loop.now)
+        )
+
+    def target_unreachable(self) -> None:
+        """Notes that no one listens at the target's address."""
+        self.perform(self.core.handle_unreachable(now=self.loop.now))
+
+    def message_received(self, sender: str, message: messages.Message) -> None:
+        """Takes a message of a balancer."""
+        now = self.loop.now
+        match message:
+            case messages.Forward(_, _, data):
+                segment = packets.decode(data, from_target=False)
+                if segment is not None:
+                    self.perform(
+                        self.core.handle_forward(
+                            sender, message, segment, now=now
+                        )
+                    )
+            case messages.Greeting():
+                self.perform(
+                    self.core.handle_greeting(sender, message, now=now)
+                )
+                if self.core.registration_missing:
+                    self.registration.missing(now=now)
+
+    def malformed(self, sender: str) -> None:
+        """Counts a datagram that can't be used."""
+        self.core.counts["malformed"] = self.core.counts.get("malformed", 0) + 1
+        self.record("malformed_datagram", sender=sender)
+
+    def perform(self, actions: list[messages.Action]) -> None:
+        """Carries out what the core decided."""
+        for action in actions:
+            match action:
+                case messages.Deliver(data, tag):
+                    self.target_socket.send(
+                        packets.with_tag(data, tag), self.target
+                    )
+                case messages.Answer(flow_id, data):
+                    self.clients.send(
+                        data,
+                        (
+                            packets.client_address(flow_id),
+                            self.settings.packets[1],
+                        ),
+                    )
+                case messages.Send(address, message):
+                    self.peers.send(address, message)
+                case messages.Record(event, fields):
+                    self.record(event, **fields)
+
+    def record(self, event: str, **fields: object) -> None:
+        """Writes a log line."""
+        self.log.write(event, fields, now=self.loop.now)
+
+    def answer(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        """Answers the target's reports and questions about this process."""
+        if target == "/ready":
+            return 200, b"{}"
+        if not target.startswith(_INSTANCES):
+            return 404, b"{}"
+        target_id = target.removeprefix(_INSTANCES)
+        now = self.loop.now
+        if method == "DELETE":
+            self.perform(self.core.handle_departure(target_id, now=now))
+            return 200, b"{}"
+        if method != "PUT":
+            return 405, b"{}"
+        try:
+            heartbeat = documents.heartbeat(target_id, body)
+        except documents.MalformedError as exc:
+            self.record("malformed_heartbeat", id=target_id, error=str(exc))
+            return 400, b"{}"
+        self.perform(self.core.handle_heartbeat(heartbeat, now=now))
+        return 200, b"{}"
+
+    def tick(self) -> None:
+        """Does what is due."""
+        self.perform(self.core.tick(now=self.loop.now))
+        self.register()
+
+    def stop(self) -> None:
+        """Ends at once; the target has ended or goes on without the agent."""
+        self.record("stopped", flows=len(self.core.flow_by_id))
+        self.log.flush()
+        self.loop.stopped = True
+
+    def run(self) -> None:
+        """Runs until the process is told to stop."""
+        self.record("started", service=self.settings.service)
+        self.loop.on_signal(signal.SIGTERM, self.stop)
+        self.loop.on_signal(
+            signal.SIGHUP, lambda: self.record("reload_ignored")
+        )
+        self.perform(self.core.announce(now=self.loop.now))
+        self.register()
+        self.loop.call_every(agents.TICK_S, self.tick)
+        self.loop.call_every(LOG_INTERVAL_S, self.log.flush)
+        self.loop.run()
+
+
+def main() -> int:
+    """Runs an agent.
+
+    Returns:
+        Exit status.
+    """
+    try:
+        program = AgentProgram(settings_module.load())
+    except settings_module.SettingsError as exc:
+        print(f"settings: {exc}", file=sys.stderr)
+        return 2
+    program.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/godwitturn/platform/channels.py
@@ -0,0 +1,83 @@
+"""Datagram sockets of a daemon on the platform."""
+
+import selectors
+import socket
+from collections.abc import Callable
+
+from godwitturn.core.transparent import messages
+from godwitturn.daemons import reactor
+from godwitturn.protocol import transparent
+
+RECEIVE_BYTES = 2048
+BUFFER_BYTES = 1 << 20
+# Datagrams read before other sockets and timers have their turn.
+BATCH = 64
+
+
+class DatagramSocket:
+    """A bound UDP socket that hands over what it receives."""
+
+    def __init__(
+        self,
+        loop: reactor.Reactor,
+        address: tuple[str, int],
+        received: Callable[[bytes, str], None],
+    ) -> None:
+        self.unreachable: Callable[[], None] | None = None
+        self._received = received
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES
+        )
+        self._socket.bind(address)
+        self._socket.setblocking(False)
+        loop.watch(self._socket, selectors.EVENT_READ, self._ready)
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram; one that can't be sent counts as lost."""
+        try:
+            self._socket.sendto(data, address)
+        except ConnectionRefusedError:
+            if self.unreachable is not None:
+                self.unreachable()
+        except OSError:
+            return  # full buffer or no route: the sender repeats what matters
+
+    def _ready(self) -> None:
+        for _ in range(BATCH):
+            try:
+                data, sender = self._socket.recvfrom(RECEIVE_BYTES)
+            except ConnectionRefusedError:
+                if self.unreachable is not None:
+                    self.unreachable()
+                continue
+            except OSError:
+                return
+            self._received(data, sender[0])
+
+
+class PeerChannel:
+    """Messages between daemons, all at the same port."""
+
+    def __init__(
+        self,
+        loop: reactor.Reactor,
+        address: tuple[str, int],
+        received: Callable[[str, messages.Message], None],
+        malformed: Callable[[str], None],
+    ) -> None:
+        self._port = address[1]
+        self._deliver = received
+        self._malformed = malformed
+        self._socket = DatagramSocket(loop, address, self._received)
+
+    def send(self, address: str, message: messages.Message) -> None:
+        """Sends a message to a daemon."""
+        self._socket.send(transparent.encode(message), (address, self._port))
+
+    def _received(self, data: bytes, sender: str) -> None:
+        message = transparent.decode(data)
+        if message is None:
+            self._malformed(sender)
+        else:
+            self._deliver(sender, message)
--- /dev/null
+++ b/godwitturn/platform/documents.py
@@ -0,0 +1,139 @@
+"""What operators and targets write, decoded into the product's types."""
+
+import ipaddress
+import json
+from typing import Any
+
+from godwitturn.core.transparent import agent
+from godwitturn.core.transparent import routes
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+OPERATOR_PREFIX = "op/"
+AGENT_PREFIX = "godwitturn/agents/"
+
+_READY = "ready"
+_DRAINING = "draining"
+_DEFAULT_IDLE_MS = 15000
+
+
+class MalformedError(ValueError):
+    """A document is not what it should be."""
+
+
+def configuration(data: bytes) -> routes.Configuration:
+    """Returns the operators' configuration.
+
+    Raises:
+        MalformedError: If it can't be read.
+    """
+    try:
+        document = json.loads(data)
+        services = [_service(row) for row in document["services"]]
+        route_by_endpoint = dict(
+            _route(row) for row in document["routes"] if row.get("host")
+        )
+        idle_ms = document.get("limits", {}).get(
+            "idle_timeout_ms", _DEFAULT_IDLE_MS
+        )
+        return routes.Configuration(
+            version=int(document["version"]),
+            route_by_endpoint=route_by_endpoint,
+            service_by_name={service.name: service for service in services},
+            idle_timeout_s=float(idle_ms) / 1000,
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        raise MalformedError(f"configuration: {exc!r}") from exc
+
+
+def _service(row: dict[str, Any]) -> routes.Service:
+    return routes.Service(
+        name=str(row["name"]),
+        max_flows=int(row["max_conns"]),
+        cold_per_second=float(row.get("cold_per_s", 0.0)),
+    )
+
+
+def _route(row: dict[str, Any]) -> tuple[routes.Endpoint, routes.Route]:
+    # The host is an address, the prefix a port between slashes.
+    endpoint = (
+        int(ipaddress.IPv4Address(row["host"])),
+        int(row["prefix"].strip("/")),
+    )
+    split = row.get("traffic_split") or [
+        {"service": row["service"], "weight": 1}
+    ]
+    shares = tuple(
+        routes.Share(str(part["service"]), int(part["weight"]))
+        for part in split
+    )
+    return endpoint, routes.Route(str(row["name"]), shares)
+
+
+def heartbeat(target_id: str, data: bytes) -> agent.Heartbeat:
+    """Returns a target's heartbeat.
+
+    Raises:
+        MalformedError: If it can't be read, or its state is unknown.
+    """
+    try:
+        document = json.loads(data)
+        state = document["state"]
+        if state not in (_READY, _DRAINING):
+            raise MalformedError(
+                f"heartbeat: state is {state!r}; "
+                f"allowed: {_READY!r}, {_DRAINING!r}"
+            )
+        return agent.Heartbeat(
+            target_id=target_id,
+            born=_integer(document, "born", 0),
+            sequence=_integer(document, "sequence"),
+            service=_text(document, "service"),
+            draining=state == _DRAINING,
+            slots=_integer(document, "slots"),
+            cold_ms=_integer(document, "cold_remaining_ms", 0),
+        )
+    except (ValueError, TypeError, KeyError) as exc:
+        raise MalformedError(f"heartbeat: {exc!r}") from exc
+
+
+def _integer(
+    document: dict[str, Any], name: str, default: int | None = None
+) -> int:
+    value = document.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise MalformedError(f"{name} is {value!r}; expected a whole number")
+    return value
+
+
+def _text(document: dict[str, Any], name: str) -> str:
+    value = document[name]
+    if not isinstance(value, str):
+        raise MalformedError(f"{name} is {value!r}; expected text")
+    return value
+
+
+def agent_entry(address: str, service: str, data_centre: str) -> bytes:
+    """Returns an agent's entry in the store."""
+    return json.dumps([address, service, data_centre]).encode()
+
+
+def read_agent_entry(data: bytes) -> tuple[str, str, str]:
+    """Returns address, service and data centre of an agent's entry.
+
+    Raises:
+        MalformedError: If it can't be read.
+    """
+    try:
+        address, service, data_centre = json.loads(data)
+        ipaddress.IPv4Address(address)
+    except (ValueError, TypeError) as exc:
+        raise MalformedError(f"agent entry: {exc!r}") from exc
+    return address, str(service), str(data_centre)
+
+
+def evacuated_data_centre(key: str) -> str | None:
+    """Returns the data centre that a key takes out, None for other keys."""
+    if key.startswith(EVACUATION_PREFIX):
+        return key.removeprefix(EVACUATION_PREFIX)
+    return None
--- /dev/null
+++ b/godwitturn/protocol/transparent.py
@@ -0,0 +1,144 @@
+"""Datagrams between balancers and agents that forward packets unchanged.
+
+The first byte tells the kind. Packets follow a fixed header, so that they
+are copied and not escaped; other messages are JSON.
+"""
+
+import json
+import struct
+from typing import Any
+
+from godwitturn.core.transparent import messages
+
+_FORWARD = 1
+_REFUSED = 2
+_MISSING = 3
+_HELD = 4
+_ANNOUNCEMENT = 5
+_GREETING = 6
+_PEER_STATUS = 7
+
+# Kind, search flag, length of the service's name.
+_FORWARD_HEADER = struct.Struct("!BBB")
+_REFUSED_HEADER = struct.Struct("!BB")
+_HELD_BODY = struct.Struct("!BIHIH")
+
+
+def encode(message: messages.Message) -> bytes:
+    """Returns a message as a datagram."""
+    match message:
+        case messages.Forward(service, search, data):
+            name = service.encode()
+            header = _FORWARD_HEADER.pack(_FORWARD, search, len(name))
+            return header + name + data
+        case messages.Refused(reason, data):
+            return _REFUSED_HEADER.pack(_REFUSED, reason) + data
+        case messages.FlowMissing(data):
+            return bytes((_MISSING,)) + data
+        case messages.FlowHeld(flow_id):
+            return _HELD_BODY.pack(_HELD, *flow_id)
+        case messages.Announcement():
+            fields: list[Any] = [
+                message.node,
+                message.service,
+                message.data_centre,
+                message.run,
+                message.sequence,
+                message.incarnation,
+                message.state,
+                message.slots,
+                message.flows,
+                message.work,
+                message.cold_ms,
+                message.balancers,
+            ]
+            return _pack(_ANNOUNCEMENT, fields)
+        case messages.Greeting():
+            fields = [
+                message.revision,
+                message.evacuated,
+                message.cold_per_second,
+                message.registered,
+            ]
+            return _pack(_GREETING, fields)
+        case messages.PeerStatus():
+            return _pack(_PEER_STATUS, [message.revision, message.agents])
+
+
+def _pack(kind: int, fields: list[Any]) -> bytes:
+    text = json.dumps(fields, separators=(",", ":"))
+    return bytes((kind,)) + text.encode()
+
+
+def decode(data: bytes) -> messages.Message | None:
+    """Returns the message in a datagram, or None if it is malformed."""
+    try:
+        return _decode(data)
+    except (ValueError, TypeError, IndexError, struct.error):
+        return None
+
+
+def _decode(data: bytes) -> messages.Message | None:
+    match data[0]:
+        case 1:
+            _, search, size = _FORWARD_HEADER.unpack_from(data)
+            start = _FORWARD_HEADER.size
+            name = data[start : start + size].decode()
+            return messages.Forward(name, bool(search), data[start + size :])
+        case 2:
+            return messages.Refused(messages.Refusal(data[1]), data[2:])
+        case 3:
+            return messages.FlowMissing(data[1:])
+        case 4:
+            _, *flow_id = _HELD_BODY.unpack(data)
+            return messages.FlowHeld(tuple(flow_id))  # type: ignore[arg-type]
+        case 5:
+            return _announcement(*json.loads(data[1:]))
+        case 6:
+            revision, evacuated, cold_per_second, registered = json.loads(
+                data[1:]
+            )
+            return messages.Greeting(
+                int(revision),
+                bool(evacuated),
+                float(cold_per_second),
+                bool(registered),
+            )
+        case 7:
+            revision, agents = json.loads(data[1:])
+            return messages.PeerStatus(int(revision), _texts(agents))
+    return None
+
+
+def _announcement(
+    node: Any,
+    service: Any,
+    data_centre: Any,
+    run: Any,
+    sequence: Any,
+    incarnation: Any,
+    state: Any,
+    slots: Any,
+    flows: Any,
+    work: Any,
+    cold_ms: Any,
+    balancers: Any,
+) -> messages.Announcement:
+    return messages.Announcement(
+        node=str(node),
+        service=str(service),
+        data_centre=str(data_centre),
+        run=int(run),
+        sequence=int(sequence),
+        incarnation=str(incarnation),
+        state=messages.TargetState(state),
+        slots=int(slots),
+        flows=int(flows),
+        work=int(work),
+        cold_ms=int(cold_ms),
+        balancers=_texts(balancers),
+    )
+
+
+def _texts(values: Any) -> tuple[str, ...]:
+    return tuple(str(value) for value in values)
--- a/godwitturn/standins/operator_actions.py
+++ b/godwitturn/standins/operator_actions.py
@@ -15,8 +15,8 @@
 from godwitturn.admin import operations
 from godwitturn.core import configuration as configurations
 from godwitturn.core import documents
-from godwitturn.platform import repository
-from godwitturn.platform import store
+from godwitturn.etcd import repository
+from godwitturn.etcd import store
 from godwitturn.standins import deployments
 from godwitturn.standins import history
 from godwitturn.standins import system_runs
--- a/godwitturn/standins/seeding.py
+++ b/godwitturn/standins/seeding.py
@@ -10,9 +10,9 @@
 from godwitturn.core import approval
 from godwitturn.core import configuration as configurations
 from godwitturn.core import documents
-from godwitturn.platform import operations
-from godwitturn.platform import repository
-from godwitturn.platform import store
+from godwitturn.etcd import operations
+from godwitturn.etcd import repository
+from godwitturn.etcd import store
 from godwitturn.standins import deployments
 
 DEADLINE_S = 20.0
--- a/godwitturn/tests/failure_steps.py
+++ b/godwitturn/tests/failure_steps.py
@@ -11,9 +11,9 @@
 from godwitturn.core import addresses
 from godwitturn.core import documents
 from godwitturn.core import token as tokens
-from godwitturn.platform import operations
-from godwitturn.platform import repository
-from godwitturn.platform import store
+from godwitturn.etcd import operations
+from godwitturn.etcd import repository
+from godwitturn.etcd import store
 from godwitturn.protocol import packet as packets
 from godwitturn.standins import deployments
 from godwitturn.standins import processes
--- a/godwitturn/tests/lease_holder.py
+++ b/godwitturn/tests/lease_holder.py
@@ -19,9 +19,9 @@
 from returns import result as results
 import trio
 
-from godwitturn.platform import leases
-from godwitturn.platform import store
-from godwitturn.platform import wire
+from godwitturn.etcd import leases
+from godwitturn.etcd import store
+from godwitturn.etcd import wire
 
 
 def _word(answer: results.Result[Any, Any]) -> str:
--- a/godwitturn/tests/store_process.py
+++ b/godwitturn/tests/store_process.py
@@ -11,7 +11,7 @@
 import httpx
 import trio
 
-from godwitturn.platform import store
+from godwitturn.etcd import store
 
 READY_SECONDS = 30.0
 
--- a/godwitturn/tests/test_cli_show.py
+++ b/godwitturn/tests/test_cli_show.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from godwitturn.cli import exit_codes
-from godwitturn.platform import operations as store_operations
+from godwitturn.etcd import operations as store_operations
 from godwitturn.tests import cli_fixtures
 
 ExitCode = exit_codes.ExitCode
--- a/godwitturn/tests/test_leases.py
+++ b/godwitturn/tests/test_leases.py
@@ -14,10 +14,10 @@
 from hypothesis import strategies
 import trio
 
-from godwitturn.platform import failures
-from godwitturn.platform import leases
-from godwitturn.platform import store
-from godwitturn.platform import wire
+from godwitturn.etcd import failures
+from godwitturn.etcd import leases
+from godwitturn.etcd import store
+from godwitturn.etcd import wire
 from godwitturn.tests import store_process
 
 KEY = "/godwitturn/test/publisher/dc1"
--- a/godwitturn/tests/test_operations.py
+++ b/godwitturn/tests/test_operations.py
@@ -11,10 +11,10 @@
 import trio
 
 from godwitturn.core import write_operation
-from godwitturn.platform import failures
-from godwitturn.platform import operations
-from godwitturn.platform import store
-from godwitturn.platform import watch as watches
+from godwitturn.etcd import failures
+from godwitturn.etcd import operations
+from godwitturn.etcd import store
+from godwitturn.etcd import watch as watches
 from godwitturn.tests import store_process
 from godwitturn.tests import test_store
 
--- a/godwitturn/tests/test_store.py
+++ b/godwitturn/tests/test_store.py
@@ -12,9 +12,9 @@
 from returns import result as results
 import trio
 
-from godwitturn.platform import failures
-from godwitturn.platform import store
-from godwitturn.platform import wire
+from godwitturn.etcd import failures
+from godwitturn.etcd import store
+from godwitturn.etcd import wire
 from godwitturn.tests import store_process
 
 
--- a/godwitturn/tests/test_watch.py
+++ b/godwitturn/tests/test_watch.py
@@ -6,9 +6,9 @@
 
 import trio
 
-from godwitturn.platform import store
-from godwitturn.platform import watch as watches
-from godwitturn.platform import wire
+from godwitturn.etcd import store
+from godwitturn.etcd import watch as watches
+from godwitturn.etcd import wire
 from godwitturn.tests import store_process
 
 WatchTest = Callable[
