Search a flow at all agents, since shares of its route may have changed

Cause: a balancer asked only the agents of the services that the route has now; a flow opened before a change of weights was reported missing by all of them and reset while its target served it. Ruled out: lost datagrams (an agent that doesn't answer prevents the reset). Change: all agents are asked; a young agent whose target's service the route never had says nothing. Packets that follow during a search are held.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -25,8 +25,9 @@
 FLOW_SWEEP_S = 1.0
 # Packets that the target returns come back within milliseconds.
 DELIVERIES_KEPT = 1024
-# Three heartbeats missed: the target may be gone.
-HEARTBEATS_MISSED = 3.0
+# Heartbeats are counted from 1; the first one tells that the target has
+# started after this agent.
+FIRST_SEQUENCE = 1
 
 
 @attrs.define(frozen=True, slots=True)
@@ -164,7 +165,10 @@
             return self._ignored(heartbeat, "late")
         if restarted and known is not None:
             self.flow_by_id.clear()
-            self._witnessed = True
+        if restarted:
+            self._witnessed = (
+                known is not None or heartbeat.sequence <= FIRST_SEQUENCE
+            )
         self.heartbeat = heartbeat
         self.heartbeat_at = now
         state = (
@@ -269,16 +273,14 @@
             return actions
         if segment.opening:
             return self._admit(balancer, forward, segment, now=now)
-        if (
-            self._witnessed
-            or forward.service != self.service
-            or self.state == messages.TargetState.DOWN
-        ):
+        if self._witnessed or self.state == messages.TargetState.DOWN:
             return [
                 messages.Send(balancer, messages.FlowMissing(segment.data))
             ]
         # The target may hold flows from before this agent started; it returns
         # packets of those that it doesn't hold.
+        if forward.service != self.service:
+            return []
         return [self._deliver(balancer, forward)]
 
     def _admit(
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -30,6 +30,8 @@
 MAX_TRIES = 4
 # Searches that are not settled start again with the client's next packet.
 SEARCH_S = 0.15
+# Clients have at most 16 packets in flight.
+MAX_HELD = 15
 # Flows are forgotten some time after the last packet; agents still know them.
 FLOW_CACHE_S = 60.0
 FLOW_SWEEP_S = 5.0
@@ -65,10 +67,12 @@
     Attributes:
         waiting: Agents that have not answered.
         started_at: When they were asked.
+        held: The flow's next packets, until its agent is known.
     """
 
     waiting: set[str]
     started_at: float
+    held: list[bytes] = attrs.field(factory=list)
 
 
 @attrs.define(slots=True)
@@ -102,6 +106,9 @@
     peer_heard_at: dict[str, float] = attrs.field(factory=dict)
     peer_revision: int = 0
     counts: dict[str, int] = attrs.field(factory=dict)
+    _services_by_endpoint: dict[routes.Endpoint, set[str]] = attrs.field(
+        factory=dict
+    )
     _ticked_at: float | None = None
     _peers_at: float = float("-inf")
     _swept_at: float = 0.0
@@ -123,6 +130,9 @@
         if known is not None and known.version >= configuration.version:
             return []
         self.configuration = configuration
+        for endpoint, route in configuration.route_by_endpoint.items():
+            services = self._services_by_endpoint.setdefault(endpoint, set())
+            services.update(share.service for share in route.shares)
         return [
             messages.Record(
                 "configuration_applied",
@@ -345,40 +355,36 @@
         *,
         now: float,
     ) -> list[messages.Action]:
-        """Asks the agents of a route's services who holds a flow."""
+        """Asks all agents who holds a flow.
+
+        A flow stays at its target when its route's shares change, so the
+        target's service may be any. Only agents of services that the route
+        has had are told to try their target, should they not know.
+        """
         search = self.search_by_id.get(segment.flow_id)
         if search is not None and now - search.started_at < SEARCH_S:
+            if len(search.held) < MAX_HELD:
+                search.held.append(segment.data)
             return []
-        agents = self._candidates(segment) - excluded
+        agents = set(self.table.target_by_address) - excluded
         if not agents:
             if excluded and not self._uncertain(now):
                 return self._reset(segment, "flow_unknown")
             return []
         self.search_by_id[segment.flow_id] = Search(set(agents), now)
         self._count("searches")
-        return [
-            messages.Send(
-                agent,
-                messages.Forward(self._service_of(agent), True, segment.data),
-            )
-            for agent in sorted(agents)
-        ]
-
-    def _candidates(self, segment: segments.Segment) -> set[str]:
-        """Returns the agents whose targets may hold a flow."""
-        route = None
-        if self.configuration is not None:
-            route = self.configuration.route_by_endpoint.get(
-                segment.flow_id[2:]
+        allowed = self._services_by_endpoint.get(segment.flow_id[2:], set())
+        actions: list[messages.Action] = []
+        for agent in sorted(agents):
+            service = self._service_of(agent)
+            if service not in allowed:
+                service = ""
+            actions.append(
+                messages.Send(
+                    agent, messages.Forward(service, True, segment.data)
+                )
             )
-        if route is None:
-            return set(self.table.target_by_address)
-        services = {share.service for share in route.shares}
-        return {
-            target.address
-            for target in self.table.target_by_address.values()
-            if not target.service or target.service in services
-        }
+        return actions
 
     def _uncertain(self, now: float) -> bool:
         """Returns whether an agent may exist that isn't in the table yet."""
@@ -394,7 +400,7 @@
             case messages.Announcement():
                 return self._announced(sender, message, now=now)
             case messages.FlowHeld():
-                self.search_by_id.pop(message.flow_id, None)
+                search = self.search_by_id.pop(message.flow_id, None)
                 self.flow_by_id[message.flow_id] = CachedFlow(
                     agent=sender,
                     accepted=True,
@@ -402,7 +408,13 @@
                     sent_at=now,
                     used_at=now,
                 )
-                return []
+                service = self._service_of(sender)
+                return [
+                    messages.Send(
+                        sender, messages.Forward(service, False, data)
+                    )
+                    for data in (search.held if search else ())
+                ]
             case messages.PeerStatus():
                 self.peer_heard_at[sender] = now
                 self.peer_revision = max(self.peer_revision, message.revision)
