--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -162,13 +162,12 @@
         ]
 
     def register(
-        self, address: str, service: str, data_centre: str
+        self, address: str, service: str, data_centre: str, *, now: float
     ) -> list[messages.Action]:
-        """Notes an agent's entry in the store."""
-        if address not in self.table.target_by_address:
-            self._greeted_at.pop(address, None)
-        self.table.register(address, service, data_centre)
+        """Notes an agent's entry in the store and greets the agent."""
+        self.table.register(address, service, data_centre, now=now)
         return [
+            self.greet(address, now=now),
             messages.Record(
                 "agent_registered", {"agent": address, "service": service}
             )
@@ -185,7 +184,8 @@
         if self.stopping or self.configuration is None:
             return False
         heard = [
-            target.silent_s(now) < targets.LOST_S
+            target.announcement is not None
+            and target.silent_s(now) < targets.LOST_S
             for target in self.table.target_by_address.values()
         ]
         if not any(heard):
@@ -400,6 +400,7 @@
             case messages.Announcement():
                 return self._announced(sender, message, now=now)
             case messages.FlowHeld():
+                self.table.hear(sender, now=now)
                 search = self.search_by_id.pop(message.flow_id, None)
                 self.flow_by_id[message.flow_id] = CachedFlow(
                     agent=sender,
@@ -419,7 +420,7 @@
                 self.peer_heard_at[sender] = now
                 self.peer_revision = max(self.peer_revision, message.revision)
                 for agent in message.agents:
-                    self._meet(agent)
+                    self.table.add(agent, now=now)
                 return []
             case _:
                 self._count("unexpected_messages")
@@ -503,11 +504,6 @@
             )
         ]
 
-    def _meet(self, agent: str) -> None:
-        """Adds an agent that another balancer has heard of."""
-        if agent not in self.table.target_by_address:
-            self.table.target_by_address[agent] = targets.Target(agent)
-
     # Time.
 
     def tick(self, *, now: float) -> list[messages.Action]:
@@ -561,7 +557,8 @@
         for address, target in self.table.target_by_address.items():
             interval_s = (
                 GREETING_INTERVAL_S
-                if target.silent_s(now) < targets.LOST_S
+                if target.announcement is not None
+                and target.silent_s(now) < targets.LOST_S
                 else FIRST_GREETING_INTERVAL_S
             )
             greeted_at = self._greeted_at.get(address, float("-inf"))
--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -28,6 +28,7 @@
 
     Attributes:
         address: IP number of the agent.
+        added_at: When this balancer learnt of the agent, in seconds.
         service: Service of the target, empty until known.
         data_centre: Data centre of the target.
         registered: Whether the store holds the agent's entry.
@@ -38,6 +39,7 @@
     """
 
     address: str
+    added_at: float
     service: str = ""
     data_centre: str = ""
     registered: bool = False
@@ -49,9 +51,13 @@
     )
 
     def silent_s(self, now: float) -> float:
-        """Returns the seconds since the agent was last heard."""
+        """Returns the seconds since the agent was last heard.
+
+        Silence of an agent that was never heard counts from when it was
+        learnt of.
+        """
         if self.heard_at is None:
-            return float("inf")
+            return now - self.added_at
         return now - self.heard_at
 
     def load(self) -> float:
@@ -69,9 +75,23 @@
 
     target_by_address: dict[str, Target] = attrs.field(factory=dict)
 
-    def register(self, address: str, service: str, data_centre: str) -> Target:
+    def add(self, address: str, *, now: float) -> Target:
+        """Returns the target of an agent, added if it is new."""
+        target = self.target_by_address.get(address)
+        if target is None:
+            target = Target(address, now)
+            self.target_by_address[address] = target
+        return target
+
+    def hear(self, address: str, *, now: float) -> None:
+        """Notes a sign of life of an agent."""
+        self.add(address, now=now).heard_at = now
+
+    def register(
+        self, address: str, service: str, data_centre: str, *, now: float
+    ) -> Target:
         """Notes an agent's entry in the store and returns its target."""
-        target = self.target_by_address.setdefault(address, Target(address))
+        target = self.add(address, now=now)
         target.registered = True
         if target.announcement is None:
             target.service = service
@@ -103,7 +123,7 @@
         Returns:
             Whether the target changed in state, service or incarnation.
         """
-        target = self.target_by_address.setdefault(address, Target(address))
+        target = self.add(address, now=now)
         known = target.announcement
         if (
             known is not None
@@ -146,7 +166,7 @@
         balancer may be the one that is cut off.
         """
         heard = sum(
-            target.silent_s(now) < SILENT_S
+            target.heard_at is not None and target.silent_s(now) < SILENT_S
             for target in self.target_by_address.values()
         )
         return 2 * heard > len(self.target_by_address)
@@ -154,6 +174,7 @@
     def excuse_pause(self, pause_s: float) -> None:
         """Discounts a pause of this process from all silences."""
         for target in self.target_by_address.values():
+            target.added_at += pause_s
             if target.heard_at is not None:
                 target.heard_at += pause_s
 
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -132,8 +132,7 @@
         if entry[0] != address:
             self.record("malformed_document", key=item.key, error="address")
             return
-        self.perform(self.core.register(*entry))
-        self.perform([self.core.greet(address, now=self.loop.now)])
+        self.perform(self.core.register(*entry, now=self.loop.now))
 
     def packet_received(self, data: bytes, sender: str) -> None:
         """Takes a datagram from a router."""
