Let openings wait for a cold target; keep openings while targets are learnt

Balancers reset openings before the first announcement. A balancer offers openings again that came in its first two seconds. Fewer generated methods and imports at start.

--- a/benchmarks/bench_disruption.py
+++ b/benchmarks/bench_disruption.py
@@ -26,10 +26,10 @@
 from benchmarks import rig
 from godwitturn.core import configuration as configurations
 from godwitturn.core import documents
-from godwitturn.metrics import registry
 from godwitturn.etcd import operations
 from godwitturn.etcd import repository
 from godwitturn.etcd import store
+from godwitturn.metrics import registry
 from godwitturn.standins import deployments
 from godwitturn.standins import history
 from godwitturn.standins import system
--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -10,6 +10,7 @@
 import attrs
 
 from godwitturn.core.transparent import cold_limit
+from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
 
@@ -30,30 +31,7 @@
 FIRST_SEQUENCE = 1
 
 
-@attrs.define(frozen=True, slots=True)
-class Heartbeat:
-    """What a target says of itself.
-
-    Attributes:
-        target_id: Its id.
-        born: When it started, as it says.
-        sequence: Count of its heartbeats since then.
-        service: Its service.
-        draining: Whether it is about to leave.
-        slots: Requests that it runs at the same time.
-        cold_ms: Milliseconds for which it stays cold.
-    """
-
-    target_id: str
-    born: int
-    sequence: int
-    service: str
-    draining: bool
-    slots: int
-    cold_ms: int
-
-
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class Flow:
     """A flow at the target.
 
@@ -79,7 +57,7 @@
         return self.client_ended and self.target_ended
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class Delivery:
     """A packet given to the target that may come back.
 
@@ -92,7 +70,24 @@
     forward: messages.Forward
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
+class WaitingOpening:
+    """An opening that waits until a cold target may take it.
+
+    Attributes:
+        balancer: Who forwarded it.
+        forward: What it forwarded.
+        segment: The packet.
+        since: When it came.
+    """
+
+    balancer: str
+    forward: messages.Forward
+    segment: segments.Segment
+    since: float
+
+
+@attrs.define(eq=False, repr=False)
 class Agent:
     """State and decisions of one agent.
 
@@ -101,6 +96,7 @@
         service: The service whose target runs here.
         data_centre: The data centre.
         run: Random number of this run.
+        cold: Limit of openings while the target is cold.
         heartbeat: The newest heartbeat of the target, None if none came.
         state: State of the target.
         evacuated: Whether the data centre is to get nothing new.
@@ -114,21 +110,21 @@
     service: str
     data_centre: str
     run: int
-    heartbeat: Heartbeat | None = None
+    cold: cold_limit.ColdLimit
+    heartbeat: heartbeats.Heartbeat | None = None
     heartbeat_at: float = 0.0
-    heartbeat_interval_s: float = 1.2
     state: messages.TargetState = messages.TargetState.UNKNOWN
     evacuated: bool = False
     revision: int = 0
     registration_missing: bool = False
     flow_by_id: dict[segments.FlowId, Flow] = attrs.field(factory=dict)
     balancer_heard_at: dict[str, float] = attrs.field(factory=dict)
-    cold: cold_limit.ColdLimit = attrs.field(factory=cold_limit.ColdLimit)
     counts: dict[str, int] = attrs.field(factory=dict)
     _witnessed: bool = False
     _deliveries: collections.OrderedDict[int, Delivery] = attrs.field(
         factory=collections.OrderedDict
     )
+    _waiting: dict[segments.FlowId, WaitingOpening] = attrs.field(factory=dict)
     _tag: int = 0
     _sequence: int = 0
     _announced_at: float = float("-inf")
@@ -145,7 +141,7 @@
     # The target's word.
 
     def handle_heartbeat(
-        self, heartbeat: Heartbeat, *, now: float
+        self, heartbeat: heartbeats.Heartbeat, *, now: float
     ) -> list[messages.Action]:
         """Takes a heartbeat of the target."""
         known = self.heartbeat
@@ -221,9 +217,9 @@
         ]
 
     def _ignored(
-        self, heartbeat: Heartbeat, reason: str
+        self, heartbeat: heartbeats.Heartbeat, reason: str
     ) -> list[messages.Action]:
-        self._count(f"heartbeat_{reason}")
+        self.count(f"heartbeat_{reason}")
         return [
             messages.Record(
                 "heartbeat_ignored",
@@ -265,7 +261,7 @@
             if segment.ending:
                 flow.client_ended = True
                 self._changed = True
-            actions = [self._deliver(balancer, forward)]
+            actions: list[messages.Action] = [self._deliver(balancer, forward)]
             if forward.search and flow.accepted:
                 actions.append(
                     messages.Send(balancer, messages.FlowHeld(segment.flow_id))
@@ -291,9 +287,12 @@
         *,
         now: float,
     ) -> list[messages.Action]:
-        reason = self._refusal(forward, now=now)
+        reason = self._refusal(forward)
         if reason is not None:
             return self._refuse(balancer, segment, reason)
+        if self.cold_ms(now) > 0 and not self.cold.admit(now=now):
+            return self._wait(balancer, forward, segment, now=now)
+        self._waiting.pop(segment.flow_id, None)
         self.flow_by_id[segment.flow_id] = Flow(balancer, now)
         self._changed = True
         return [
@@ -310,9 +309,61 @@
             ),
         ]
 
-    def _refusal(
-        self, forward: messages.Forward, *, now: float
-    ) -> messages.Refusal | None:
+    def _wait(
+        self,
+        balancer: str,
+        forward: messages.Forward,
+        segment: segments.Segment,
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        """Makes an opening wait for a cold target, if that can help."""
+        if segment.flow_id in self._waiting:
+            return []
+        if len(self._waiting) >= self.cold.max_waiting:
+            return self._refuse(balancer, segment, messages.Refusal.COLD)
+        self._waiting[segment.flow_id] = WaitingOpening(
+            balancer, forward, segment, now
+        )
+        self._changed = True
+        return [
+            messages.Send(balancer, messages.FlowHeld(segment.flow_id)),
+            messages.Record(
+                "opening_waits",
+                {
+                    "flow": segments.flow_name(segment.flow_id),
+                    "balancer": balancer,
+                    "waiting": len(self._waiting),
+                    "cold_ms": self.cold_ms(now),
+                    "per_second": self.cold.per_second,
+                },
+            ),
+        ]
+
+    def _admit_waiting(self, now: float) -> list[messages.Action]:
+        """Admits openings that waited, and refuses those that can't be."""
+        actions: list[messages.Action] = []
+        for flow_id, opening in list(self._waiting.items()):
+            refused = self._refusal(opening.forward) is not None
+            may_pass = self.cold_ms(now) <= 0 or self.cold.room(now=now)
+            late = now - opening.since > cold_limit.MAX_WAIT_S
+            if not (refused or may_pass or late):
+                break
+            del self._waiting[flow_id]
+            if late and not may_pass:
+                actions += self._refuse(
+                    opening.balancer, opening.segment, messages.Refusal.COLD
+                )
+            else:
+                actions += self._admit(
+                    opening.balancer,
+                    opening.forward,
+                    opening.segment,
+                    now=now,
+                )
+        return actions
+
+    def _refusal(self, forward: messages.Forward) -> messages.Refusal | None:
         if forward.service != self.service:
             return messages.Refusal.WRONG_SERVICE
         if self.state == messages.TargetState.DOWN:
@@ -321,8 +372,6 @@
             return messages.Refusal.DRAINING
         if self.evacuated:
             return messages.Refusal.EVACUATED
-        if self.cold_ms(now) > 0 and not self.cold.admit(now=now):
-            return messages.Refusal.COLD
         return None
 
     def _refuse(
@@ -331,7 +380,7 @@
         segment: segments.Segment,
         reason: messages.Refusal,
     ) -> list[messages.Action]:
-        self._count(f"refused_{reason.name.lower()}")
+        self.count(f"refused_{reason.name.lower()}")
         return [
             messages.Send(balancer, messages.Refused(reason, segment.data)),
             messages.Record(
@@ -392,7 +441,7 @@
     def _returned(self, segment: segments.Segment) -> list[messages.Action]:
         delivery = self._deliveries.pop(segment.tag, None)
         if delivery is None:
-            self._count("returned_unknown")
+            self.count("returned_unknown")
             return []
         data = delivery.forward.data
         flow = self.flow_by_id.get(segment.flow_id)
@@ -452,9 +501,7 @@
         self._announced_at = now
         self._changed = False
         self._sequence += 1
-        flows = [
-            flow for flow in self.flow_by_id.values() if not flow.closing
-        ]
+        flows = [flow for flow in self.flow_by_id.values() if not flow.closing]
         announcement = messages.Announcement(
             node=self.node,
             service=self.service,
@@ -464,7 +511,7 @@
             incarnation=self.incarnation,
             state=self.state,
             slots=self.heartbeat.slots if self.heartbeat else 1,
-            flows=len(flows),
+            flows=len(flows) + len(self._waiting),
             work=sum(flow.waiting for flow in flows),
             cold_ms=self.cold_ms(now),
             balancers=tuple(self.balancer_heard_at),
@@ -479,10 +526,11 @@
         if now - self._swept_at >= FLOW_SWEEP_S:
             self._swept_at = now
             self._sweep(now)
+        actions = self._admit_waiting(now) if self._waiting else []
         gap_s = ANNOUNCE_GAP_S if self._changed else ANNOUNCE_INTERVAL_S
-        if now - self._announced_at < gap_s:
-            return []
-        return self.announce(now=now)
+        if now - self._announced_at >= gap_s:
+            actions += self.announce(now=now)
+        return actions
 
     def _sweep(self, now: float) -> None:
         for flow_id, flow in list(self.flow_by_id.items()):
@@ -499,7 +547,8 @@
             if now - heard_at > BALANCER_FORGOTTEN_S:
                 del self.balancer_heard_at[balancer]
 
-    def _count(self, name: str) -> None:
+    def count(self, name: str) -> None:
+        """Adds one to a counter."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
 
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -41,7 +41,7 @@
 UNKNOWN_GRACE_S = 2.0
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class CachedFlow:
     """Where a flow is, as far as this balancer knows.
 
@@ -60,7 +60,7 @@
     used_at: float
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class Search:
     """A question to several agents about who holds a flow.
 
@@ -75,7 +75,7 @@
     held: list[bytes] = attrs.field(factory=list)
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class Balancer:
     """State and decisions of one balancer.
 
@@ -109,6 +109,9 @@
     _services_by_endpoint: dict[routes.Endpoint, set[str]] = attrs.field(
         factory=dict
     )
+    _postponed_by_id: dict[segments.FlowId, segments.Segment] = attrs.field(
+        factory=dict
+    )
     _ticked_at: float | None = None
     _peers_at: float = float("-inf")
     _swept_at: float = 0.0
@@ -170,7 +173,7 @@
             self.greet(address, now=now),
             messages.Record(
                 "agent_registered", {"agent": address, "service": service}
-            )
+            ),
         ]
 
     def unregister(self, address: str, *, now: float) -> list[messages.Action]:
@@ -262,6 +265,7 @@
         if configuration is None:
             if now - self.started_at > UNKNOWN_GRACE_S:
                 return self._reset(segment, "no_configuration")
+            self._postponed_by_id.setdefault(segment.flow_id, segment)
             return []
         route = configuration.route_by_endpoint.get(segment.flow_id[2:])
         if route is None:
@@ -315,18 +319,25 @@
     def _reject(
         self, segment: segments.Segment, tried: set[str], *, now: float
     ) -> list[messages.Action]:
-        heard = any(
-            target.heard_at is not None
-            for target in self.table.target_by_address.values()
-        )
-        if not heard and now - self.started_at < UNKNOWN_GRACE_S:
+        """Rejects an opening, or keeps it while targets are still learnt."""
+        if now - self.started_at < UNKNOWN_GRACE_S and not tried:
+            self._postponed_by_id.setdefault(segment.flow_id, segment)
             return []
         return self._reset(segment, "no_target", tried=len(tried))
 
+    def _offer_postponed(self, *, now: float) -> list[messages.Action]:
+        """Offers the openings that came before targets were known."""
+        actions: list[messages.Action] = []
+        postponed, self._postponed_by_id = self._postponed_by_id, {}
+        for flow_id, segment in postponed.items():
+            if flow_id not in self.flow_by_id:
+                actions += self._offer(segment, None, now=now)
+        return actions
+
     def _reset(
         self, segment: segments.Segment, reason: str, **fields: object
     ) -> list[messages.Action]:
-        self._count(f"reset_{reason}")
+        self.count(f"reset_{reason}")
         self.flow_by_id.pop(segment.flow_id, None)
         self.search_by_id.pop(segment.flow_id, None)
         if segment.resetting:
@@ -372,7 +383,7 @@
                 return self._reset(segment, "flow_unknown")
             return []
         self.search_by_id[segment.flow_id] = Search(set(agents), now)
-        self._count("searches")
+        self.count("searches")
         allowed = self._services_by_endpoint.get(segment.flow_id[2:], set())
         actions: list[messages.Action] = []
         for agent in sorted(agents):
@@ -423,7 +434,7 @@
                     self.table.add(agent, now=now)
                 return []
             case _:
-                self._count("unexpected_messages")
+                self.count("unexpected_messages")
                 return []
 
     def handle_refusal(
@@ -435,7 +446,7 @@
         now: float,
     ) -> list[messages.Action]:
         """Offers an opening that an agent handed back to another target."""
-        self._count(f"refused_{reason.name.lower()}")
+        self.count(f"refused_{reason.name.lower()}")
         target = self.table.target_by_address.get(sender)
         if target is not None:
             target.paused_until = now + targets.FULL_PAUSE_S
@@ -470,9 +481,7 @@
             return []
         search.waiting.discard(sender)
         waiting = [
-            agent
-            for agent in search.waiting
-            if not self._lost(agent, now=now)
+            agent for agent in search.waiting if not self._lost(agent, now=now)
         ]
         if waiting or self._uncertain(now):
             return []
@@ -492,6 +501,7 @@
         if not changed:
             return []
         return [
+            *self._offer_postponed(now=now),
             messages.Record(
                 "target_announced",
                 {
@@ -501,7 +511,7 @@
                     "incarnation": announcement.incarnation,
                     "sequence": announcement.sequence,
                 },
-            )
+            ),
         ]
 
     # Time.
@@ -517,6 +527,7 @@
                     messages.Record("paused", {"seconds": round(pause_s, 2)})
                 )
         self._ticked_at = now
+        actions += self._offer_postponed(now=now)
         actions += self._greetings(now)
         if now - self._peers_at >= PEER_INTERVAL_S:
             self._peers_at = now
@@ -589,5 +600,6 @@
             if now - search.started_at > FLOW_SWEEP_S:
                 del self.search_by_id[flow_id]
 
-    def _count(self, name: str) -> None:
+    def count(self, name: str) -> None:
+        """Adds one to a counter."""
         self.counts[name] = self.counts.get(name, 0) + 1
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -27,7 +27,7 @@
     DOWN = 3
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Forward:
     """A client's packet on its way from a balancer to an agent.
 
@@ -43,7 +43,7 @@
     data: bytes
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Refused:
     """An agent hands an opening back.
 
@@ -56,7 +56,7 @@
     data: bytes
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class FlowMissing:
     """The target beside the sender doesn't hold a packet's flow.
 
@@ -67,7 +67,7 @@
     data: bytes
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class FlowHeld:
     """The target beside the sender holds a flow.
 
@@ -78,7 +78,7 @@
     flow_id: segments.FlowId
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Announcement:
     """What an agent says of its target and itself.
 
@@ -112,7 +112,7 @@
     balancers: tuple[str, ...]
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Greeting:
     """A balancer makes itself known to an agent, with what concerns it.
 
@@ -130,7 +130,7 @@
     registered: bool
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class PeerStatus:
     """A balancer tells another one what it knows.
 
@@ -154,7 +154,7 @@
 )
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Send:
     """Send a message to a daemon.
 
@@ -167,7 +167,7 @@
     message: Message
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Reset:
     """Reset a client's flow.
 
@@ -180,7 +180,7 @@
     sequence: int
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Deliver:
     """Give a packet to the target on this machine.
 
@@ -193,7 +193,7 @@
     tag: int
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Answer:
     """Send a target's packet to the client.
 
@@ -206,7 +206,7 @@
     data: bytes
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Record:
     """Write a line to the log.
 
--- a/godwitturn/core/transparent/mirror.py
+++ b/godwitturn/core/transparent/mirror.py
@@ -8,7 +8,7 @@
 RETRY_LAST_S = 1.0
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Item:
     """A key of the store.
 
@@ -23,7 +23,7 @@
     revision: int
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class ReadPage:
     """Read keys of a prefix.
 
@@ -36,7 +36,7 @@
     after: str
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Watch:
     """Wait for changes of a prefix.
 
@@ -51,7 +51,7 @@
     wait_s: float
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Page:
     """Answer to `ReadPage`.
 
@@ -66,7 +66,7 @@
     revision: int
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Changes:
     """Answer to `Watch`.
 
@@ -88,7 +88,7 @@
     MALFORMED = "malformed"
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class Mirror:
     """State of one mirrored prefix.
 
--- a/godwitturn/core/transparent/registration.py
+++ b/godwitturn/core/transparent/registration.py
@@ -14,7 +14,7 @@
 REPUT_DELAY_S = 1.0
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class GrantLease:
     """Ask for a lease.
 
@@ -25,7 +25,7 @@
     seconds: float
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class KeepLease:
     """Renew a lease.
 
@@ -36,7 +36,7 @@
     lease: int
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class EndLease:
     """End a lease, with its keys.
 
@@ -47,7 +47,7 @@
     lease: int
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class PutEntry:
     """Write a key under a lease.
 
@@ -65,7 +65,7 @@
 Call = GrantLease | KeepLease | EndLease | PutEntry
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Granted:
     """A lease was granted.
 
@@ -84,7 +84,7 @@
     FAILED = "failed"
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class Registration:
     """State of an agent's entry.
 
--- a/godwitturn/core/transparent/routes.py
+++ b/godwitturn/core/transparent/routes.py
@@ -5,7 +5,7 @@
 Endpoint = tuple[int, int]
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Share:
     """A service that takes a part of a route's new flows.
 
@@ -18,7 +18,7 @@
     weight: int
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Route:
     """Where new flows to an address and port go.
 
@@ -31,7 +31,7 @@
     shares: tuple[Share, ...]
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Service:
     """What the operators say of a service's targets.
 
@@ -46,7 +46,7 @@
     cold_per_second: float
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Configuration:
     """One version of the operators' configuration.
 
--- a/godwitturn/core/transparent/segments.py
+++ b/godwitturn/core/transparent/segments.py
@@ -7,7 +7,7 @@
 FlowId = tuple[int, int, int, int]
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class Segment:
     """A packet of a flow in either direction.
 
--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -22,7 +22,7 @@
 COLD_LOAD = 4.0
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class Target:
     """One target, known by the address of its agent.
 
@@ -69,7 +69,7 @@
         return flows / max(1, self.announcement.slots)
 
 
-@attrs.define(slots=True)
+@attrs.define(eq=False, repr=False)
 class TargetTable:
     """Targets by the address of their agent."""
 
--- a/godwitturn/daemons/admin.py
+++ b/godwitturn/daemons/admin.py
@@ -12,9 +12,9 @@
 from godwitturn.daemons import clock
 from godwitturn.daemons import control
 from godwitturn.daemons import runtime as runtimes
-from godwitturn.metrics import registry as registries
 from godwitturn.etcd import repository as repositories
 from godwitturn.etcd import store
+from godwitturn.metrics import registry as registries
 from godwitturn.settings import schema
 
 
--- a/godwitturn/daemons/http_client.py
+++ b/godwitturn/daemons/http_client.py
@@ -1,9 +1,9 @@
 """HTTP client over the reactor: one connection, one call at a time."""
 
+from collections.abc import Callable
 import errno
 import selectors
 import socket
-from collections.abc import Callable
 
 import h11
 
@@ -35,7 +35,12 @@
         self._body: list[bytes] = []
 
     def call(
-        self, method: str, target: str, body: bytes, timeout_s: float, done: Done
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+        done: Done,
     ) -> None:
         """Makes a call.
 
@@ -59,7 +64,7 @@
     def _send(self, method: str, target: str, body: bytes) -> None:
         if self._socket is None:
             self._connect()
-        assert self._protocol is not None  # noqa: S101
+        assert self._protocol is not None
         host, port = self._address
         headers = [("Host", f"{host}:{port}")]
         if body:
@@ -104,7 +109,7 @@
             self._fail()
 
     def _write(self) -> None:
-        assert self._socket is not None  # noqa: S101
+        assert self._socket is not None
         try:
             sent = self._socket.send(self._output)
         except BlockingIOError:
@@ -114,7 +119,7 @@
             self._watch(selectors.EVENT_READ)
 
     def _read(self) -> None:
-        assert self._socket is not None and self._protocol is not None  # noqa: S101
+        assert self._socket is not None and self._protocol is not None
         try:
             data = self._socket.recv(READ_BYTES)
         except BlockingIOError:
@@ -137,7 +142,7 @@
                     return
 
     def _finish(self) -> None:
-        assert self._protocol is not None  # noqa: S101
+        assert self._protocol is not None
         if self._protocol.our_state is h11.MUST_CLOSE:
             self.close()
         else:
--- a/godwitturn/daemons/http_server.py
+++ b/godwitturn/daemons/http_server.py
@@ -1,8 +1,8 @@
 """HTTP server over the reactor, for short requests and answers."""
 
+from collections.abc import Callable
 import selectors
 import socket
-from collections.abc import Callable
 
 import h11
 
@@ -118,7 +118,7 @@
 
     def _answer(self) -> bool:
         """Answers the request; returns whether another one may follow."""
-        assert self._request is not None  # noqa: S101
+        assert self._request is not None
         status, body = self._server.handler(
             self._request.method.decode(),
             self._request.target.decode(),
--- a/godwitturn/daemons/reactor.py
+++ b/godwitturn/daemons/reactor.py
@@ -4,13 +4,13 @@
 decides how soon a restarted daemon forwards its first packet.
 """
 
+from collections.abc import Callable
 import heapq
 import itertools
 import selectors
 import signal
 import socket
 import time
-from collections.abc import Callable
 
 MAX_WAIT_S = 0.1
 
@@ -58,10 +58,8 @@
 
     def unwatch(self, sock: socket.socket) -> None:
         """Stops watching a socket."""
-        try:
+        if sock.fileno() in self._selector.get_map():
             self._selector.unregister(sock)
-        except (KeyError, ValueError):
-            pass  # it was not watched
 
     def call_later(
         self, delay_s: float, callback: Callable[[], None]
@@ -83,7 +81,9 @@
 
         self.call_later(interval_s, run)
 
-    def on_signal(self, number: signal.Signals, act: Callable[[], None]) -> None:
+    def on_signal(
+        self, number: signal.Signals, act: Callable[[], None]
+    ) -> None:
         """Calls back soon after a signal."""
         signal.signal(number, lambda *_: self.call_later(0.0, act) and None)
 
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -3,8 +3,10 @@
 import random
 import signal
 import sys
+import time
 
 from godwitturn.core.transparent import agent as agents
+from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import registration
 from godwitturn.daemons import http_client
@@ -43,7 +45,9 @@
             service=settings.service,
             data_centre=settings.data_centre,
             run=self.draw.getrandbits(48),
-            heartbeat_interval_s=settings.heartbeat_s,
+            cold=cold_limit.ColdLimit(
+                settings.cold_overshoot, settings.cold_slack
+            ),
         )
         self.clients = channels.DatagramSocket(
             self.loop, settings.packets, lambda data, sender: None
@@ -87,9 +91,7 @@
                 call, result, now=self.loop.now, draw=self.draw.random()
             )
             if result == registration.Outcome.FAILED:
-                self.record(
-                    "store_call_failed", call=type(call).__name__
-                )
+                self.record("store_call_failed", call=type(call).__name__)
             elif failures or not isinstance(call, registration.KeepLease):
                 self.record(
                     "registration",
@@ -135,7 +137,9 @@
 
     def malformed(self, sender: str) -> None:
         """Counts a datagram that can't be used."""
-        self.core.counts["malformed"] = self.core.counts.get("malformed", 0) + 1
+        self.core.counts["malformed"] = (
+            self.core.counts.get("malformed", 0) + 1
+        )
         self.record("malformed_datagram", sender=sender)
 
     def perform(self, actions: list[messages.Action]) -> None:
@@ -199,7 +203,11 @@
 
     def run(self) -> None:
         """Runs until the process is told to stop."""
-        self.record("started", service=self.settings.service)
+        self.record(
+            "started",
+            service=self.settings.service,
+            startup_cpu_ms=round(1000 * time.process_time()),
+        )
         self.loop.on_signal(signal.SIGTERM, self.stop)
         self.loop.on_signal(
             signal.SIGHUP, lambda: self.record("reload_ignored")
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import sys
+import time
 
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import messages
@@ -167,7 +168,9 @@
 
     def malformed(self, sender: str) -> None:
         """Counts a datagram that can't be used."""
-        self.core.counts["malformed"] = self.core.counts.get("malformed", 0) + 1
+        self.core.counts["malformed"] = (
+            self.core.counts.get("malformed", 0) + 1
+        )
         self.record("malformed_datagram", sender=sender)
 
     def perform(self, actions: list[messages.Action]) -> None:
@@ -220,7 +223,9 @@
 
     def run(self) -> None:
         """Runs until the process is told to stop."""
-        self.record("started", version=1)
+        self.record(
+            "started", startup_cpu_ms=round(1000 * time.process_time())
+        )
         self.loop.on_signal(signal.SIGTERM, self.stop)
         self.loop.on_signal(
             signal.SIGHUP, lambda: self.record("reload_ignored")
--- a/godwitturn/platform/channels.py
+++ b/godwitturn/platform/channels.py
@@ -1,8 +1,8 @@
 """Datagram sockets of a daemon on the platform."""
 
+from collections.abc import Callable
 import selectors
 import socket
-from collections.abc import Callable
 
 from godwitturn.core.transparent import messages
 from godwitturn.daemons import reactor
--- a/godwitturn/platform/documents.py
+++ b/godwitturn/platform/documents.py
@@ -1,10 +1,10 @@
 """What operators and targets write, decoded into the product's types."""
 
-import ipaddress
 import json
+import socket
 from typing import Any
 
-from godwitturn.core.transparent import agent
+from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import routes
 
 CONFIGURATION_KEY = "op/config"
@@ -42,7 +42,7 @@
             service_by_name={service.name: service for service in services},
             idle_timeout_s=float(idle_ms) / 1000,
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+    except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
         raise MalformedError(f"configuration: {exc!r}") from exc
 
 
@@ -57,7 +57,7 @@
 def _route(row: dict[str, Any]) -> tuple[routes.Endpoint, routes.Route]:
     # The host is an address, the prefix a port between slashes.
     endpoint = (
-        int(ipaddress.IPv4Address(row["host"])),
+        int.from_bytes(socket.inet_aton(row["host"]), "big"),
         int(row["prefix"].strip("/")),
     )
     split = row.get("traffic_split") or [
@@ -70,7 +70,7 @@
     return endpoint, routes.Route(str(row["name"]), shares)
 
 
-def heartbeat(target_id: str, data: bytes) -> agent.Heartbeat:
+def heartbeat(target_id: str, data: bytes) -> heartbeats.Heartbeat:
     """Returns a target's heartbeat.
 
     Raises:
@@ -84,7 +84,7 @@
                 f"heartbeat: state is {state!r}; "
                 f"allowed: {_READY!r}, {_DRAINING!r}"
             )
-        return agent.Heartbeat(
+        return heartbeats.Heartbeat(
             target_id=target_id,
             born=_integer(document, "born", 0),
             sequence=_integer(document, "sequence"),
@@ -126,8 +126,8 @@
     """
     try:
         address, service, data_centre = json.loads(data)
-        ipaddress.IPv4Address(address)
-    except (ValueError, TypeError) as exc:
+        socket.inet_aton(address)
+    except (ValueError, TypeError, OSError) as exc:
         raise MalformedError(f"agent entry: {exc!r}") from exc
     return address, str(service), str(data_centre)
 
--- a/godwitturn/platform/settings.py
+++ b/godwitturn/platform/settings.py
@@ -2,7 +2,6 @@
 
 import json
 import os
-import pathlib
 from typing import Any
 
 import attrs
@@ -33,7 +32,9 @@
         peer_port: Port for messages between daemons.
         seeds: IP numbers of up to three balancers; they may be stale.
         store: Address of the platform's store.
-        heartbeat_s: Seconds between a target's heartbeats.
+        cold_overshoot: By which factor a cold target's second may exceed its
+            rate.
+        cold_slack: By how many requests it may exceed that.
         grace_s: Seconds from SIGTERM to SIGKILL.
     """
 
@@ -49,7 +50,8 @@
     peer_port: int
     seeds: tuple[str, ...]
     store: Address
-    heartbeat_s: float
+    cold_overshoot: float
+    cold_slack: float
     grace_s: float
 
 
@@ -63,7 +65,8 @@
     if not path:
         raise SettingsError(f"environment variable {PATH_VARIABLE} is not set")
     try:
-        fields = json.loads(pathlib.Path(path).read_text())
+        with open(path, encoding="utf-8") as file:
+            fields = json.load(file)
     except (OSError, ValueError) as exc:
         raise SettingsError(f"{path}: {exc}") from exc
     return decode(fields)
@@ -148,7 +151,8 @@
         peer_port=peer_port,
         seeds=tuple(seeds),
         store=reader.address("platform.address"),
-        heartbeat_s=reader.get("heartbeat_ms", float, 1200.0) / 1000,
+        cold_overshoot=reader.get("bounds.cold_overshoot", float, 1.0),
+        cold_slack=reader.get("bounds.cold_slack", float, 1.0),
         grace_s=reader.get("bounds.grace_s", float, 6.0),
     )
     if reader.faults:
--- a/godwitturn/platform/store.py
+++ b/godwitturn/platform/store.py
@@ -5,10 +5,10 @@
 """
 
 import base64
-import json
-import urllib.parse
 from collections.abc import Callable
+import json
 from typing import Any
+import urllib.parse
 
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -91,7 +91,7 @@
             return messages.FlowMissing(data[1:])
         case 4:
             _, *flow_id = _HELD_BODY.unpack(data)
-            return messages.FlowHeld(tuple(flow_id))  # type: ignore[arg-type]
+            return messages.FlowHeld(tuple(flow_id))
         case 5:
             return _announcement(*json.loads(data[1:]))
         case 6:
--- a/godwitturn/tests/admin_fixtures.py
+++ b/godwitturn/tests/admin_fixtures.py
@@ -17,9 +17,9 @@
 from godwitturn.core import approval_changes
 from godwitturn.core import events
 from godwitturn.core import membership
-from godwitturn.metrics import registry as registries
 from godwitturn.etcd import repository as repositories
 from godwitturn.etcd import store
+from godwitturn.metrics import registry as registries
 from godwitturn.standins import deployments
 from godwitturn.standins.store import application as store_application
 from godwitturn.standins.store import service as store_service
