Put no limit on cold targets of services that name none

Also: an agent of another service than a flow's says again that it doesn't hold it, since resets of dead flows had stopped after a loss of power.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -269,14 +269,16 @@
             return actions
         if segment.opening:
             return self._admit(balancer, forward, segment, now=now)
-        if self._witnessed or self.state == messages.TargetState.DOWN:
+        if (
+            self._witnessed
+            or forward.service != self.service
+            or self.state == messages.TargetState.DOWN
+        ):
             return [
                 messages.Send(balancer, messages.FlowMissing(segment.data))
             ]
         # The target may hold flows from before this agent started; it returns
         # packets of those that it doesn't hold.
-        if forward.service != self.service:
-            return []
         return [self._deliver(balancer, forward)]
 
     def _admit(
@@ -453,8 +455,11 @@
         if flow is not None:
             del self.flow_by_id[segment.flow_id]
             self._changed = True
+        missing = messages.Send(delivery.balancer, messages.FlowMissing(data))
+        if delivery.forward.search:
+            return [missing]
         return [
-            messages.Send(delivery.balancer, messages.FlowMissing(data)),
+            missing,
             messages.Record(
                 "flow_not_held",
                 {
--- a/godwitturn/core/transparent/cold_limit.py
+++ b/godwitturn/core/transparent/cold_limit.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+UNLIMITED = 1 << 30
 WINDOW_S = 1.0
 # Packets of one window may arrive closer together than they were admitted.
 WINDOW_MARGIN_S = 0.1
@@ -25,7 +26,8 @@
     Attributes:
         overshoot: By which factor a second may exceed the rate.
         slack: By how many openings it may exceed that.
-        per_second: Requests a second that the cold target bears.
+        per_second: Requests a second that the cold target bears; 0 if its
+            service names no limit.
     """
 
     overshoot: float
@@ -38,6 +40,8 @@
     @property
     def per_window(self) -> int:
         """Openings admitted in any window."""
+        if not self.per_second:
+            return UNLIMITED
         bound = self.per_second * self.overshoot + self.slack
         return max(1, int(bound) - 1)
 
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -206,7 +206,7 @@
         self.record(
             "started",
             service=self.settings.service,
-            startup_cpu_ms=round(1000 * time.process_time()),
+            startup_cpu_ms=round(1000 * time.thread_time()),
         )
         self.loop.on_signal(signal.SIGTERM, self.stop)
         self.loop.on_signal(
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -224,7 +224,7 @@
     def run(self) -> None:
         """Runs until the process is told to stop."""
         self.record(
-            "started", startup_cpu_ms=round(1000 * time.process_time())
+            "started", startup_cpu_ms=round(1000 * time.thread_time())
         )
         self.loop.on_signal(signal.SIGTERM, self.stop)
         self.loop.on_signal(
