Tell clients of ended targets at once; stop balancers when routers allow it

Change: a balancer resets the flows of a target that ended or started anew, gives up silent agents after 1.2 s, and ends once routers have asked twice and half of its data centre is ready; agents of ended targets remove their entry.

--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -36,7 +36,14 @@
 FLOW_CACHE_S = 60.0
 FLOW_SWEEP_S = 5.0
 # A balancer that starts serves without answers of all agents after this.
-START_GRACE_S = 1.0
+START_GRACE_S = 0.5
+# Routers take a balancer out of rotation after two misses, which they count
+# twice a second.
+MISSES_TO_LEAVE = 2
+# Packets that were on their way when a router counted the second miss.
+LEAVE_DELAY_S = 0.1
+# Share of a stopping balancer's grace period that it may use.
+STOP_SHARE = 0.7
 # Without agents or configuration for this long, clients are told at once.
 UNKNOWN_GRACE_S = 2.0
 
@@ -51,6 +58,8 @@
         tried: Agents that were offered the opening.
         sent_at: When the opening was last forwarded.
         used_at: When the last packet came.
+        established: Whether a packet after the opening was forwarded.
+        acknowledged: What the client's last packet acknowledged.
     """
 
     agent: str
@@ -58,6 +67,8 @@
     tried: set[str]
     sent_at: float
     used_at: float
+    established: bool = False
+    acknowledged: int = 0
 
 
 @attrs.define(eq=False, repr=False)
@@ -75,6 +86,36 @@
     held: list[bytes] = attrs.field(factory=list)
 
 
+@attrs.define(eq=False, repr=False)
+class Peer:
+    """Another balancer.
+
+    Attributes:
+        heard_at: When it was last heard, or heard of.
+        data_centre: Its data centre, empty until it says so.
+        ready: Whether it takes new packets from routers.
+    """
+
+    heard_at: float
+    data_centre: str = ""
+    ready: bool = False
+
+
+@attrs.define(eq=False, repr=False)
+class Stop:
+    """A balancer's graceful stop.
+
+    Attributes:
+        ends_at: When the balancer ends at the latest.
+        misses: Questions of routers that were answered in the negative.
+        missed_at: When the last of them was.
+    """
+
+    ends_at: float
+    misses: int = 0
+    missed_at: float = 0.0
+
+
 @attrs.define(eq=False, repr=False)
 class Balancer:
     """State and decisions of one balancer.
@@ -86,10 +127,11 @@
         configuration: The operators' configuration, or None until known.
         revision: Store revision of the newest change that is in force here.
         closed_data_centres: Data centres that get nothing new.
-        stopping: Whether it was told to stop.
+        agents_listed: Whether the agents in the store have been read.
+        stop: The graceful stop, None unless one was ordered.
         table: Targets.
         flow_by_id: Cache of flows.
-        peer_heard_at: When each other balancer was last heard.
+        peer_by_address: Other balancers.
         counts: Counters by name.
     """
 
@@ -99,12 +141,12 @@
     configuration: routes.Configuration | None = None
     revision: int = 0
     closed_data_centres: frozenset[str] = frozenset()
-    stopping: bool = False
+    agents_listed: bool = False
+    stop: Stop | None = None
     table: targets.TargetTable = attrs.field(factory=targets.TargetTable)
     flow_by_id: dict[segments.FlowId, CachedFlow] = attrs.field(factory=dict)
     search_by_id: dict[segments.FlowId, Search] = attrs.field(factory=dict)
-    peer_heard_at: dict[str, float] = attrs.field(factory=dict)
-    peer_revision: int = 0
+    peer_by_address: dict[str, Peer] = attrs.field(factory=dict)
     counts: dict[str, int] = attrs.field(factory=dict)
     _services_by_endpoint: dict[routes.Endpoint, set[str]] = attrs.field(
         factory=dict
@@ -184,7 +226,7 @@
 
     def ready(self, *, now: float) -> bool:
         """Returns whether routers should send packets here."""
-        if self.stopping or self.configuration is None:
+        if self.stop is not None or self.configuration is None:
             return False
         heard = [
             target.announcement is not None
@@ -195,6 +237,55 @@
             return False
         return all(heard) or now - self.started_at > START_GRACE_S
 
+    def meet(self, address: str, *, now: float) -> None:
+        """Notes that another balancer may exist."""
+        if address != self.address:
+            self.peer_by_address.setdefault(address, Peer(now))
+
+    def begin_stop(self, *, now: float, grace_s: float) -> None:
+        """Begins a graceful stop: readiness fails, packets are forwarded.
+
+        Args:
+            now: Seconds.
+            grace_s: Seconds until the process is killed.
+        """
+        self.stop = Stop(ends_at=now + STOP_SHARE * grace_s)
+        self._peers_at = float("-inf")
+
+    def note_miss(self, *, now: float) -> None:
+        """Notes that a router was told that this balancer isn't ready."""
+        if self.stop is not None:
+            self.stop.misses += 1
+            self.stop.missed_at = now
+
+    def may_end(self, *, now: float) -> bool:
+        """Returns whether a stopping balancer may end.
+
+        It forwards until routers have taken it out of rotation. They use even
+        those that aren't ready while fewer than half of a data centre's
+        balancers are.
+        """
+        stop = self.stop
+        if stop is None:
+            return False
+        if now >= stop.ends_at:
+            return True
+        if (
+            stop.misses < MISSES_TO_LEAVE
+            or now - stop.missed_at < LEAVE_DELAY_S
+        ):
+            return False
+        neighbours = [
+            peer
+            for peer in self.peer_by_address.values()
+            if peer.data_centre == self.data_centre
+        ]
+        ready = sum(
+            peer.ready and now - peer.heard_at < 2 * PEER_INTERVAL_S
+            for peer in neighbours
+        )
+        return 2 * ready >= len(neighbours) + 1 or not neighbours
+
     # Packets of clients.
 
     def handle_packet(
@@ -213,6 +304,8 @@
         if self._lost(flow.agent, now=now):
             self.flow_by_id.pop(segment.flow_id, None)
             return self._reset(segment, "target_lost", agent=flow.agent)
+        flow.established = True
+        flow.acknowledged = segment.acknowledged
         return [
             messages.Send(
                 flow.agent,
@@ -399,7 +492,12 @@
 
     def _uncertain(self, now: float) -> bool:
         """Returns whether an agent may exist that isn't in the table yet."""
-        return now - self.started_at < START_GRACE_S
+        if now - self.started_at >= START_GRACE_S:
+            return False
+        return not self.agents_listed or any(
+            target.announcement is None
+            for target in self.table.target_by_address.values()
+        )
 
     # Messages of agents and balancers.
 
@@ -428,8 +526,9 @@
                     for data in (search.held if search else ())
                 ]
             case messages.PeerStatus():
-                self.peer_heard_at[sender] = now
-                self.peer_revision = max(self.peer_revision, message.revision)
+                self.peer_by_address[sender] = Peer(
+                    now, message.data_centre, message.ready
+                )
                 for agent in message.agents:
                     self.table.add(agent, now=now)
                 return []
@@ -495,12 +594,19 @@
         now: float,
     ) -> list[messages.Action]:
         for peer in announcement.balancers:
-            if peer != self.address:
-                self.peer_heard_at.setdefault(peer, now)
+            self.meet(peer, now=now)
+        target = self.table.target_by_address.get(sender)
+        previous = target.announcement if target is not None else None
         changed = self.table.announce(sender, announcement, now=now)
         if not changed:
             return []
+        ended = announcement.state == messages.TargetState.DOWN or (
+            previous is not None
+            and previous.incarnation not in ("", announcement.incarnation)
+            and announcement.incarnation != ""
+        )
         return [
+            *(self._reset_ended(sender) if ended else ()),
             *self._offer_postponed(now=now),
             messages.Record(
                 "target_announced",
@@ -514,6 +620,32 @@
             ),
         ]
 
+    def _reset_ended(self, agent: str) -> list[messages.Action]:
+        """Resets the flows of a target that has ended.
+
+        A client that learns of it while its flow is idle sends its next
+        request on a new flow; one that may run only once would else be lost.
+        """
+        actions: list[messages.Action] = []
+        for flow_id, flow in list(self.flow_by_id.items()):
+            if flow.agent != agent:
+                continue
+            del self.flow_by_id[flow_id]
+            if flow.established:
+                self.count("reset_target_ended")
+                actions.append(messages.Reset(flow_id, flow.acknowledged))
+                actions.append(
+                    messages.Record(
+                        "flow_reset",
+                        {
+                            "flow": segments.flow_name(flow_id),
+                            "reason": "target_ended",
+                            "agent": agent,
+                        },
+                    )
+                )
+        return actions
+
     # Time.
 
     def tick(self, *, now: float) -> list[messages.Action]:
@@ -583,12 +715,14 @@
             for target in self.table.target_by_address.values()
             if target.silent_s(now) < targets.LOST_S
         )
-        status = messages.PeerStatus(self.revision, agents)
-        for address, heard_at in list(self.peer_heard_at.items()):
-            if now - heard_at > PEER_FORGOTTEN_S:
-                del self.peer_heard_at[address]
+        status = messages.PeerStatus(
+            self.revision, agents, self.data_centre, self.ready(now=now)
+        )
+        for address, peer in list(self.peer_by_address.items()):
+            if now - peer.heard_at > PEER_FORGOTTEN_S:
+                del self.peer_by_address[address]
         return [
-            messages.Send(address, status) for address in self.peer_heard_at
+            messages.Send(address, status) for address in self.peer_by_address
         ]
 
     def _sweep(self, now: float) -> None:
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -137,10 +137,14 @@
     Attributes:
         revision: Store revision of its configuration, 0 if it has none.
         agents: Addresses of the agents that it has heard of lately.
+        data_centre: Its data centre.
+        ready: Whether it takes new packets from routers.
     """
 
     revision: int
     agents: tuple[str, ...]
+    data_centre: str
+    ready: bool
 
 
 Message = (
--- a/godwitturn/core/transparent/registration.py
+++ b/godwitturn/core/transparent/registration.py
@@ -114,6 +114,12 @@
             return PutEntry(self.key, self.value, self.lease)
         return KeepLease(self.lease)
 
+    def last_call(self, *, target_ended: bool) -> Call | None:
+        """Returns the call to make before the agent ends, if there is one."""
+        if target_ended and self.lease:
+            return EndLease(self.lease)
+        return None
+
     def missing(self, *, now: float) -> None:
         """Takes a balancer's word that the entry isn't in the store."""
         if self.written and now - self.written_at > REPUT_DELAY_S:
--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -7,11 +7,12 @@
 
 from godwitturn.core.transparent import messages
 
-# Agents announce four times a second; three missed in a row are more than
-# the loss of single datagrams.
-SILENT_S = 0.8
-# An agent restarts in about a second; flows are given up only after that.
-LOST_S = 2.5
+# Agents announce four times a second; two missed in a row are more than the
+# loss of a datagram.
+SILENT_S = 0.6
+# Four missed announcements. Requests have about a second to be answered, so
+# a client that is told later has no time left to try another target.
+LOST_S = 1.2
 # An announcement sent before an opening arrived can't count it. One way
 # between data centres takes a few milliseconds.
 REPORT_DELAY_S = 0.03
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -20,6 +20,8 @@
 from godwitturn.platform import store
 
 LOG_INTERVAL_S = 0.2
+# The store answers within milliseconds; entries lapse with their lease anyway.
+STOP_WAIT_S = 0.5
 _INSTANCES = "/instances/"
 
 
@@ -196,10 +198,27 @@
         self.register()
 
     def stop(self) -> None:
-        """Ends at once; the target has ended or goes on without the agent."""
-        self.record("stopped", flows=len(self.core.flow_by_id))
-        self.log.flush()
-        self.loop.stopped = True
+        """Ends; the entry of a target that has ended is removed first.
+
+        Beside a target that goes on, the next run of the agent takes over.
+        """
+        self.record("stopping", flows=len(self.core.flow_by_id))
+        call = self.registration.last_call(
+            target_ended=self.core.state == messages.TargetState.DOWN
+        )
+        if call is None or self.store_busy:
+            self.end()
+            return
+        self.store_busy = True
+        self.store.write(call, lambda _: self.end())
+        self.loop.call_later(STOP_WAIT_S, self.end)
+
+    def end(self) -> None:
+        """Ends the process."""
+        if not self.loop.stopped:
+            self.record("stopped")
+            self.log.flush()
+            self.loop.stopped = True
 
     def run(self) -> None:
         """Runs until the process is told to stop."""
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -18,8 +18,6 @@
 from godwitturn.platform import settings as settings_module
 from godwitturn.platform import store
 
-# Routers take a daemon out after two misses half a second apart.
-STOP_DELAY_S = 2.0
 OPERATOR_WATCH_S = 4.0
 AGENT_WATCH_S = 10.0
 LOG_INTERVAL_S = 0.2
@@ -56,8 +54,7 @@
         if settings.control is not None:
             http_server.HttpServer(self.loop, settings.control, self.answer)
         for seed in settings.seeds:
-            if seed != settings.address:
-                self.core.peer_heard_at[seed] = self.loop.now
+            self.core.meet(seed, now=self.loop.now)
 
     def _mirror(self, prefix: str, wait_s: float) -> mirror.Mirror:
         copy = mirror.Mirror(prefix, wait_s)
@@ -93,6 +90,7 @@
     ) -> None:
         """Passes changes of the store on to the decisions."""
         if prefix == documents.AGENT_PREFIX:
+            self.core.agents_listed = copy.synced
             for item in changes:
                 self._agent_changed(copy, item)
             return
@@ -201,31 +199,31 @@
             if ready != self.was_ready:
                 self.was_ready = ready
                 self.record("readiness_changed", ready=ready)
+            if not ready:
+                self.core.note_miss(now=self.loop.now)
             return (200 if ready else 503), b"{}"
         return 404, b"{}"
 
     def tick(self) -> None:
         """Does what is due."""
-        self.perform(self.core.tick(now=self.loop.now))
+        now = self.loop.now
+        self.perform(self.core.tick(now=now))
+        if self.core.may_end(now=now):
+            self.record("stopped", flows=len(self.core.flow_by_id))
+            self.log.flush()
+            self.loop.stopped = True
 
     def stop(self) -> None:
-        """Fails readiness and ends when routers have noticed."""
-        self.record("stopping")
-        self.core.stopping = True
-        self.loop.call_later(
-            min(STOP_DELAY_S, self.settings.grace_s / 2), self._end
-        )
-
-    def _end(self) -> None:
-        self.record("stopped")
-        self.log.flush()
-        self.loop.stopped = True
+        """Begins a graceful stop."""
+        if self.core.stop is None:
+            self.record("stopping")
+            self.core.begin_stop(
+                now=self.loop.now, grace_s=self.settings.grace_s
+            )
 
     def run(self) -> None:
         """Runs until the process is told to stop."""
-        self.record(
-            "started", startup_cpu_ms=round(1000 * time.thread_time())
-        )
+        self.record("started", startup_cpu_ms=round(1000 * time.thread_time()))
         self.loop.on_signal(signal.SIGTERM, self.stop)
         self.loop.on_signal(
             signal.SIGHUP, lambda: self.record("reload_ignored")
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -62,7 +62,13 @@
             ]
             return _pack(_GREETING, fields)
         case messages.PeerStatus():
-            return _pack(_PEER_STATUS, [message.revision, message.agents])
+            fields = [
+                message.revision,
+                message.agents,
+                message.data_centre,
+                message.ready,
+            ]
+            return _pack(_PEER_STATUS, fields)
 
 
 def _pack(kind: int, fields: list[Any]) -> bytes:
@@ -105,8 +111,10 @@
                 bool(registered),
             )
         case 7:
-            revision, agents = json.loads(data[1:])
-            return messages.PeerStatus(int(revision), _texts(agents))
+            revision, agents, data_centre, ready = json.loads(data[1:])
+            return messages.PeerStatus(
+                int(revision), _texts(agents), str(data_centre), bool(ready)
+            )
     return None
 
 
