Test transparent forwarding with a model of the router; run modules side by side

Tests of each new module, and a world in simulated time with routers that hash by mod, balancers, agents, targets and clients: rolling restarts, changed shares, restarted agents, lost VMs, cut balancers, reused addresses, cold targets, loss. The test command runs each module in a process of its own, in four lanes, and modules that start daemons in two more; it prints the time of each.

--- a/godwitturn/daemons/reactor.py
+++ b/godwitturn/daemons/reactor.py
@@ -58,7 +58,8 @@
 
     def unwatch(self, sock: socket.socket) -> None:
         """Stops watching a socket."""
-        if sock.fileno() in self._selector.get_map():
+        # A closed socket has the descriptor -1, which the map refuses.
+        if sock.fileno() >= 0 and sock.fileno() in self._selector.get_map():
             self._selector.unregister(sock)
 
     def call_later(
--- /dev/null
+++ b/godwitturn/standins/transparent_world.py
@@ -0,0 +1,449 @@
+"""Balancers, agents, targets and clients in simulated time, in memory.
+
+The decisions are the product's; network, router, targets and clients are
+small models that follow the published behaviour of the platform.
+"""
+
+from collections.abc import Callable
+import functools
+import heapq
+import itertools
+import random
+import struct
+
+import attrs
+
+from godwitturn.core.transparent import agent as agents
+from godwitturn.core.transparent import balancer as balancers
+from godwitturn.core.transparent import cold_limit
+from godwitturn.core.transparent import heartbeats
+from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import routes
+from godwitturn.core.transparent import segments
+from godwitturn.platform import packets
+from godwitturn.protocol import transparent
+
+SYN = 1
+FIN = 4
+BOUNCED = 8
+ACK = 32
+RST = 128
+HEADER = struct.Struct("<HIHIIIIIBBH")
+DELAY_S = 0.004
+ROUTE_ADDRESS = 0xC6120001
+ROUTE_PORT = 443
+HEARTBEAT_S = 1.2
+
+
+def packet(
+    flow_id: segments.FlowId,
+    flags: int,
+    *,
+    sequence: int = 0,
+    acknowledged: int = 0,
+    data: bytes = b"",
+    from_target: bool = False,
+) -> bytes:
+    """Returns a packet as a client or a target sends it."""
+    client, client_port, address, port = flow_id
+    if from_target:
+        client, client_port, address, port = address, port, client, client_port
+    header = HEADER.pack(
+        client_port,
+        address,
+        port,
+        client,
+        0,
+        sequence,
+        acknowledged,
+        1,
+        flags,
+        0,
+        len(data),
+    )
+    return header + data
+
+
+def configuration(
+    version: int = 1,
+    *,
+    shares: tuple[tuple[str, int], ...] = (("core", 1),),
+    cold_per_second: float = 0.0,
+) -> routes.Configuration:
+    """Returns a configuration with one route."""
+    return routes.Configuration(
+        version=version,
+        route_by_endpoint={
+            (ROUTE_ADDRESS, ROUTE_PORT): routes.Route(
+                "main", tuple(routes.Share(*share) for share in shares)
+            )
+        },
+        service_by_name={
+            name: routes.Service(name, 2000, cold_per_second)
+            for name, _ in shares
+        },
+        idle_timeout_s=15.0,
+    )
+
+
+@attrs.define(eq=False)
+class ModelTarget:
+    """A target that accepts flows and echoes requests.
+
+    Attributes:
+        target_id: Its id.
+        born: When it started.
+        flows: Flows that it holds.
+        requests: Data packets that it took, by flow.
+        openings: Times at which it took new flows.
+        strangers: Packets of flows that it doesn't hold.
+        full: Whether it returns openings.
+        draining: Whether it says that it leaves.
+        cold_ms: How long it stays cold, as it says.
+    """
+
+    target_id: str
+    born: int
+    flows: set[segments.FlowId] = attrs.field(factory=set)
+    requests: dict[segments.FlowId, int] = attrs.field(factory=dict)
+    openings: list[float] = attrs.field(factory=list)
+    strangers: int = 0
+    full: bool = False
+    draining: bool = False
+    cold_ms: int = 0
+    heartbeats: int = 0
+
+    def receive(self, data: bytes, now: float) -> list[bytes]:
+        """Takes a packet and returns what the target sends."""
+        segment = packets.decode(data, from_target=False)
+        assert segment is not None
+        flow_id = segment.flow_id
+        if segment.opening and not self.full:
+            if flow_id not in self.flows:
+                self.openings.append(now)
+            self.flows.add(flow_id)
+            return [packet(flow_id, SYN | ACK, from_target=True)]
+        if segment.opening or flow_id not in self.flows:
+            self.strangers += 1
+            flags = data[28] | BOUNCED
+            return [data[:28] + bytes((flags,)) + data[29:]]
+        if segment.size:
+            self.requests[flow_id] = self.requests.get(flow_id, 0) + 1
+            return [packet(flow_id, ACK, data=b"answer", from_target=True)]
+        return []
+
+
+@attrs.define(eq=False)
+class ModelVM:
+    """A VM with an agent and perhaps a target.
+
+    Attributes:
+        address: Its IP number.
+        agent: The agent, None while it is down.
+        target: The target, None while it is down.
+    """
+
+    address: str
+    service: str
+    data_centre: str
+    agent: agents.Agent | None = None
+    target: ModelTarget | None = None
+
+
+@attrs.define(eq=False)
+class ModelClient:
+    """What one client flow has seen.
+
+    Attributes:
+        flow_id: The flow.
+        accepted: Whether its opening was accepted.
+        answers: Answers received.
+        resets: Resets received.
+    """
+
+    flow_id: segments.FlowId
+    accepted: bool = False
+    answers: int = 0
+    resets: int = 0
+
+
+class World:
+    """The deployment: routers, balancers, VMs, clients and a clock."""
+
+    def __init__(self, *, seed: int = 1, loss: float = 0.0) -> None:
+        self.now = 100.0
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.configuration = configuration()
+        self.closed: frozenset[str] = frozenset()
+        self.balancer_by_address: dict[str, balancers.Balancer] = {}
+        self.rotation: list[str] = []
+        self.vm_by_address: dict[str, ModelVM] = {}
+        self.client_by_id: dict[segments.FlowId, ModelClient] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.records: list[tuple[float, str, messages.Record]] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._ports = itertools.count(1000)
+        self._births = itertools.count(1)
+
+    # Time.
+
+    def at(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Calls back after a delay in seconds."""
+        event = (self.now + delay_s, next(self._numbers), callback)
+        heapq.heappush(self._events, event)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, callback = heapq.heappop(self._events)
+            callback()
+        self.now = end
+
+    # Processes.
+
+    def start_balancer(
+        self, address: str, *, data_centre: str = "a", rotate: bool = True
+    ) -> balancers.Balancer:
+        """Starts a balancer that reads the store at once."""
+        node = balancers.Balancer(
+            address=address, data_centre=data_centre, started_at=self.now
+        )
+        self.balancer_by_address[address] = node
+        if rotate and address not in self.rotation:
+            self.rotation.append(address)
+        self.configure(node)
+        for vm in self.vm_by_address.values():
+            self.perform(
+                address,
+                node.register(
+                    vm.address, vm.service, vm.data_centre, now=self.now
+                ),
+            )
+        node.agents_listed = True
+        self._tick_balancer(address, node)
+        return node
+
+    def configure(self, node: balancers.Balancer) -> None:
+        """Gives a balancer what stands in the store."""
+        version = self.configuration.version
+        actions = node.configure(self.configuration, revision=version)
+        actions += node.close_data_centres(self.closed, revision=version)
+        self.perform(node.address, actions)
+
+    def configure_all(self, newer: routes.Configuration) -> None:
+        """Puts a configuration in the store, read by all balancers."""
+        self.configuration = newer
+        for node in self.balancer_by_address.values():
+            self.configure(node)
+
+    def _tick_balancer(self, address: str, node: balancers.Balancer) -> None:
+        if self.balancer_by_address.get(address) is not node:
+            return
+        self.perform(address, node.tick(now=self.now))
+        self.at(balancers.TICK_S, lambda: self._tick_balancer(address, node))
+
+    def kill_balancer(self, address: str) -> None:
+        """Kills a balancer; it stays in rotation."""
+        self.balancer_by_address.pop(address, None)
+
+    def start_vm(
+        self, address: str, *, service: str = "core", data_centre: str = "a"
+    ) -> ModelVM:
+        """Starts a VM with an agent and a target."""
+        vm = ModelVM(address, service, data_centre)
+        self.vm_by_address[address] = vm
+        self.start_agent(vm)
+        self.start_target(vm)
+        for balancer_address, node in self.balancer_by_address.items():
+            self.perform(
+                balancer_address,
+                node.register(address, service, data_centre, now=self.now),
+            )
+        return vm
+
+    def start_agent(self, vm: ModelVM) -> agents.Agent:
+        """Starts an agent, which knows nothing."""
+        node = agents.Agent(
+            node=vm.address,
+            service=vm.service,
+            data_centre=vm.data_centre,
+            run=self.random.getrandbits(32),
+            cold=cold_limit.ColdLimit(1.5, 5),
+        )
+        vm.agent = node
+        self._tick_agent(vm, node)
+        return node
+
+    def _tick_agent(self, vm: ModelVM, node: agents.Agent) -> None:
+        if vm.agent is not node:
+            return
+        self.perform(vm.address, node.tick(now=self.now))
+        self.at(agents.TICK_S, lambda: self._tick_agent(vm, node))
+
+    def start_target(self, vm: ModelVM, *, cold_ms: int = 0) -> ModelTarget:
+        """Starts a target, which holds nothing."""
+        birth = next(self._births)
+        target = ModelTarget(f"i-{birth}", birth, cold_ms=cold_ms)
+        vm.target = target
+        self._beat(vm, target)
+        return target
+
+    def _beat(self, vm: ModelVM, target: ModelTarget) -> None:
+        if vm.target is not target:
+            return
+        target.heartbeats += 1
+        if vm.agent is not None:
+            beat = heartbeats.Heartbeat(
+                target_id=target.target_id,
+                born=target.born,
+                sequence=target.heartbeats,
+                service=vm.service,
+                draining=target.draining,
+                slots=1,
+                cold_ms=target.cold_ms,
+            )
+            actions = vm.agent.handle_heartbeat(beat, now=self.now)
+            self.perform(vm.address, actions)
+        target.cold_ms = max(0, target.cold_ms - round(1000 * HEARTBEAT_S))
+        self.at(HEARTBEAT_S, lambda: self._beat(vm, target))
+
+    # Network.
+
+    def perform(self, source: str, actions: list[messages.Action]) -> None:
+        """Carries out the actions of a process."""
+        for action in actions:
+            match action:
+                case messages.Send(address, message):
+                    data = transparent.encode(message)
+                    self._transmit(source, address, data)
+                case messages.Reset(flow_id, sequence):
+                    data = packets.reset(flow_id, sequence)
+                    self.at(DELAY_S, functools.partial(self._at_client, data))
+                case messages.Deliver(data, tag):
+                    self._to_target(source, packets.with_tag(data, tag))
+                case messages.Answer(_, data):
+                    if self.random.random() >= self.loss:
+                        self.at(
+                            DELAY_S, functools.partial(self._at_client, data)
+                        )
+                case messages.Record():
+                    self.records.append((self.now, source, action))
+
+    def _transmit(self, source: str, address: str, data: bytes) -> None:
+        if (source, address) in self.cut or self.random.random() < self.loss:
+            return
+        delay_s = DELAY_S * self.random.uniform(0.8, 1.2)
+        self.at(delay_s, lambda: self._arrive(source, address, data))
+
+    def _arrive(self, source: str, address: str, data: bytes) -> None:
+        message = transparent.decode(data)
+        assert message is not None
+        balancer = self.balancer_by_address.get(address)
+        if balancer is not None:
+            actions = self._balancer_message(balancer, source, message)
+            self.perform(address, actions)
+        vm = self.vm_by_address.get(address)
+        if vm is None or vm.agent is None:
+            return
+        match message:
+            case messages.Forward():
+                segment = packets.decode(message.data, from_target=False)
+                assert segment is not None
+                actions = vm.agent.handle_forward(
+                    source, message, segment, now=self.now
+                )
+                self.perform(address, actions)
+            case messages.Greeting():
+                actions = vm.agent.handle_greeting(
+                    source, message, now=self.now
+                )
+                self.perform(address, actions)
+
+    def _balancer_message(
+        self,
+        balancer: balancers.Balancer,
+        source: str,
+        message: messages.Message,
+    ) -> list[messages.Action]:
+        match message:
+            case messages.Refused(reason, data):
+                segment = packets.decode(data, from_target=False)
+                assert segment is not None
+                return balancer.handle_refusal(
+                    source, reason, segment, now=self.now
+                )
+            case messages.FlowMissing(data):
+                segment = packets.decode(data, from_target=False)
+                assert segment is not None
+                return balancer.handle_missing(source, segment, now=self.now)
+        return balancer.handle_message(source, message, now=self.now)
+
+    def _to_target(self, address: str, data: bytes) -> None:
+        vm = self.vm_by_address[address]
+        if vm.target is None:
+            return
+        for answer in vm.target.receive(data, self.now):
+            segment = packets.decode(answer, from_target=True)
+            if vm.agent is not None and segment is not None:
+                actions = vm.agent.handle_target_packet(segment, now=self.now)
+                self.perform(address, actions)
+
+    # Clients.
+
+    def open_flow(self) -> ModelClient:
+        """Opens a flow; its opening is repeated as clients do."""
+        flow_id = (0x64400001, next(self._ports), ROUTE_ADDRESS, ROUTE_PORT)
+        client = ModelClient(flow_id)
+        self.client_by_id[flow_id] = client
+        for copy, delay_s in enumerate((0.0, 0.2, 0.6)):
+            self.at(
+                delay_s, functools.partial(self._repeat_opening, client, copy)
+            )
+        return client
+
+    def _repeat_opening(self, client: ModelClient, copy: int) -> None:
+        if not client.accepted and not client.resets:
+            self.send(packet(client.flow_id, SYN, acknowledged=copy))
+
+    def request(self, client: ModelClient) -> None:
+        """Sends a request, repeated until an answer comes, for a second."""
+        expected = client.answers + 1
+        for delay_s in (0.0, 0.2, 0.6):
+            self.at(delay_s, lambda: self._repeat(client, expected))
+
+    def _repeat(self, client: ModelClient, expected: int) -> None:
+        if client.answers < expected and not client.resets:
+            self.send(packet(client.flow_id, ACK, data=b"request"))
+
+    def send(self, data: bytes) -> None:
+        """Passes a client's packet through the routers (hash by `mod`)."""
+        if not self.rotation or self.random.random() < self.loss:
+            return
+        segment = packets.decode(data, from_target=False)
+        assert segment is not None
+        index = hash(segment.flow_id) % len(self.rotation)
+        address = self.rotation[index]
+        self.at(DELAY_S, lambda: self._at_balancer(address, segment))
+
+    def _at_balancer(self, address: str, segment: segments.Segment) -> None:
+        balancer = self.balancer_by_address.get(address)
+        if balancer is not None:
+            actions = balancer.handle_packet(segment, now=self.now)
+            self.perform(address, actions)
+
+    def _at_client(self, data: bytes) -> None:
+        segment = packets.decode(data, from_target=True)
+        assert segment is not None
+        client = self.client_by_id.get(segment.flow_id)
+        if client is None:
+            return
+        if segment.resetting:
+            client.resets += 1
+        elif segment.accepting and not client.accepted:
+            client.accepted = True
+            self.send(packet(client.flow_id, ACK))
+        elif segment.size:
+            client.answers += 1
--- a/godwitturn/tests/__main__.py
+++ b/godwitturn/tests/__main__.py
@@ -1,18 +1,59 @@
-"""Runs all tests with nose2 and prints ``N passed, N failed``.
+"""Runs test modules side by side and prints ``N passed, N failed``.
 
-Tests listed in KNOWN-RED.txt are run and printed, but do not fail the run,
-since some of them fail only now and then. A listed test that passes is printed
-as well, so that a repaired one can be taken off the list.
+Each module runs in a process of its own under nose2. Modules that start
+daemons share few lanes, so that they don't compete for processors; the others
+run beside them. Tests listed in KNOWN-RED.txt are run and printed, but do not
+fail the run, since some of them fail only now and then. A listed test that
+passes is printed as well, so that a repaired one can be taken off the list.
 """
 
+from collections.abc import Sequence
+import concurrent.futures
+import json
+import os
 import pathlib
+import subprocess
 import sys
+import tempfile
+import time
 from typing import Any
 
+import attrs
 import hypothesis
 import nose2
 
 KNOWN_RED = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
+TESTS = pathlib.Path(__file__).parent
+PACKAGE = "godwitturn.tests"
+# Names a file for the outcomes; set in the processes that run one module.
+OUTCOMES_VARIABLE = "GODWITTURN_TEST_OUTCOMES"
+# Modules that start a system of dozens of processes.
+PROCESS_PREFIXES = ("test_failures_",)
+PROCESS_LANES = 2
+LANES = 4
+# Longer than any module takes beside load; ends one that hangs.
+MODULE_TIMEOUT_S = 900.0
+
+
+@attrs.define
+class ModuleResult:
+    """Outcomes of one module.
+
+    Attributes:
+        name: Its dotted name.
+        passed_ids: Tests that passed.
+        failed_ids: Tests that failed.
+        seconds: How long it took.
+        output: What it printed.
+        crashed: Whether it ended without outcomes.
+    """
+
+    name: str
+    passed_ids: set[str]
+    failed_ids: set[str]
+    seconds: float
+    output: str
+    crashed: bool
 
 
 class OutcomeRecorder:
@@ -44,12 +85,8 @@
     return {entry.split("|")[0].strip() for entry in entries}
 
 
-def main() -> int:
-    """Runs the tests named on the command line, or all.
-
-    Returns:
-        0 if every test passed but the ones in KNOWN-RED.txt, else 1.
-    """
+def _run_here(arguments: Sequence[str]) -> OutcomeRecorder:
+    """Runs tests in this process."""
     hypothesis.settings.register_profile(
         "ci", derandomize=True, deadline=None, database=None
     )
@@ -57,22 +94,105 @@
     recorder = OutcomeRecorder()
     nose2.main(
         module=None,
-        argv=["nose2", *sys.argv[1:]],
+        argv=["nose2", *arguments],
         exit=False,
         extraHooks=[("testOutcome", recorder)],
     )
+    return recorder
+
+
+def _run_module(name: str) -> ModuleResult:
+    """Runs one module in a process of its own."""
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "outcomes.json"
+        try:
+            process = subprocess.run(
+                [sys.executable, "-m", PACKAGE, name],
+                env={**os.environ, OUTCOMES_VARIABLE: str(path)},
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+                timeout=MODULE_TIMEOUT_S,
+            )
+            output = process.stdout
+        except subprocess.TimeoutExpired as exc:
+            output = f"{exc}\n{exc.stdout!r}"
+        seconds = time.monotonic() - began
+        if not path.exists():
+            return ModuleResult(name, set(), {name}, seconds, output, True)
+        outcomes = json.loads(path.read_text())
+    return ModuleResult(
+        name,
+        set(outcomes["passed"]),
+        set(outcomes["failed"]),
+        seconds,
+        output,
+        False,
+    )
+
+
+def _run_all() -> list[ModuleResult]:
+    """Runs all modules, those that start daemons in lanes of their own."""
+    names = sorted(path.stem for path in TESTS.glob("test_*.py"))
+    with (
+        concurrent.futures.ThreadPoolExecutor(PROCESS_LANES) as process_lanes,
+        concurrent.futures.ThreadPoolExecutor(LANES) as lanes,
+    ):
+        futures = [
+            (
+                process_lanes if name.startswith(PROCESS_PREFIXES) else lanes
+            ).submit(_run_module, f"{PACKAGE}.{name}")
+            for name in names
+        ]
+        results = []
+        for future in concurrent.futures.as_completed(futures):
+            result = future.result()
+            print(f"{result.seconds:7.1f} s  {result.name}", flush=True)
+            if result.failed_ids:
+                print(result.output, flush=True)
+            results.append(result)
+    return results
+
+
+def _report(passed_ids: set[str], failed_ids: set[str]) -> int:
+    """Prints the verdict and returns the exit status."""
     known = _known_red_ids()
-    failed = recorder.failed_ids
-    passed = recorder.passed_ids - failed
-    repaired = known & passed
-    for test_id in sorted(failed & known):
+    passed = passed_ids - failed_ids
+    for test_id in sorted(failed_ids & known):
         print(f"known red: {test_id}")
-    for test_id in sorted(repaired):
+    for test_id in sorted(known & passed):
         print(f"listed in KNOWN-RED.txt but passes: {test_id}")
-    failures = len(failed - known)
+    for test_id in sorted(failed_ids - known):
+        print(f"failed: {test_id}")
+    failures = len(failed_ids - known)
     print(f"{len(passed)} passed, {failures} failed")
     return 0 if failures == 0 and passed else 1
 
 
+def main() -> int:
+    """Runs the tests named on the command line, or all.
+
+    Returns:
+        0 if every test passed but the ones in KNOWN-RED.txt, else 1.
+    """
+    arguments = sys.argv[1:]
+    if not arguments:
+        results = _run_all()
+        return _report(
+            set().union(*(result.passed_ids for result in results)),
+            set().union(*(result.failed_ids for result in results)),
+        )
+    recorder = _run_here(arguments)
+    path = os.environ.get(OUTCOMES_VARIABLE)
+    if path:
+        outcomes = {
+            "passed": sorted(recorder.passed_ids - recorder.failed_ids),
+            "failed": sorted(recorder.failed_ids),
+        }
+        pathlib.Path(path).write_text(json.dumps(outcomes))
+    return _report(recorder.passed_ids, recorder.failed_ids)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/godwitturn/tests/test_cold_limit.py
@@ -0,0 +1,30 @@
+"""Tests of the limit for cold targets."""
+
+import unittest
+
+from godwitturn.core.transparent import cold_limit
+
+
+class TestColdLimit(unittest.TestCase):
+    """Openings within a window."""
+
+    def test_no_window_exceeds_the_bound(self) -> None:
+        limit = cold_limit.ColdLimit(1.5, 5, per_second=4.0)
+        admitted = [
+            number / 50
+            for number in range(500)
+            if limit.admit(now=number / 50)
+        ]
+        for start in admitted:
+            second = [t for t in admitted if start <= t < start + 1.0]
+            self.assertLessEqual(len(second), 4.0 * 1.5 + 5)
+
+    def test_service_without_limit(self) -> None:
+        limit = cold_limit.ColdLimit(1.5, 5)
+        self.assertTrue(all(limit.admit(now=0.0) for _ in range(1000)))
+
+    def test_at_least_one_is_admitted(self) -> None:
+        limit = cold_limit.ColdLimit(1.0, 0.0, per_second=0.5)
+        self.assertTrue(limit.admit(now=0.0))
+        self.assertFalse(limit.admit(now=0.5))
+        self.assertTrue(limit.admit(now=1.2))
--- /dev/null
+++ b/godwitturn/tests/test_mirror.py
@@ -0,0 +1,90 @@
+"""Tests of the copy of a part of the store."""
+
+import unittest
+
+from godwitturn.core.transparent import mirror
+
+
+def item(key: str, revision: int, value: bytes | None = b"v") -> mirror.Item:
+    return mirror.Item(key, value, revision)
+
+
+class MirrorCase(unittest.TestCase):
+    """A mirror with two keys at revision 10."""
+
+    def setUp(self) -> None:
+        self.mirror = mirror.Mirror("op/", 4.0)
+        self.mirror.take(
+            mirror.Page((item("op/a", 3), item("op/b", 7)), False, 10)
+        )
+
+
+class TestReading(MirrorCase):
+    """Reading pages."""
+
+    def test_watch_follows_the_copy(self) -> None:
+        self.assertTrue(self.mirror.synced)
+        self.assertEqual(mirror.Watch("op/", 10, 4.0), self.mirror.next_call())
+
+    def test_pages_are_joined_and_watched_from_the_first(self) -> None:
+        copy = mirror.Mirror("op/", 4.0)
+        self.assertEqual([], copy.take(mirror.Page((item("a", 1),), True, 5)))
+        self.assertEqual(mirror.ReadPage("op/", "a"), copy.next_call())
+        changes = copy.take(mirror.Page((item("b", 2),), False, 9))
+        self.assertEqual(["a", "b"], [change.key for change in changes])
+        self.assertEqual(mirror.Watch("op/", 5, 4.0), copy.next_call())
+
+    def test_keys_that_vanished_meanwhile_are_reported(self) -> None:
+        self.mirror.take(mirror.Failure.HISTORY_GONE)
+        self.assertEqual(mirror.ReadPage("op/", ""), self.mirror.next_call())
+        changes = self.mirror.take(mirror.Page((item("op/b", 7),), False, 12))
+        self.assertEqual([item("op/a", 12, None)], changes)
+
+    def test_older_copy_is_not_taken(self) -> None:
+        self.mirror.take(mirror.Failure.UNREACHABLE)
+        self.assertEqual([], self.mirror.take(mirror.Page((), False, 8)))
+        self.assertEqual(["op/a", "op/b"], list(self.mirror.item_by_key))
+        self.assertEqual(mirror.ReadPage("op/", ""), self.mirror.next_call())
+
+
+class TestWatching(MirrorCase):
+    """Taking changes."""
+
+    def test_changes_are_applied_in_order(self) -> None:
+        changes = self.mirror.take(
+            mirror.Changes(
+                (item("op/c", 11), item("op/a", 12, None), item("op/b", 13)),
+                13,
+            )
+        )
+        self.assertEqual(3, len(changes))
+        self.assertEqual(["op/b", "op/c"], sorted(self.mirror.item_by_key))
+
+    def test_repeated_and_older_changes_are_left_out(self) -> None:
+        changes = self.mirror.take(
+            mirror.Changes((item("op/b", 7), item("op/x", 9, None)), 10)
+        )
+        self.assertEqual([], changes)
+
+    def test_revision_never_goes_back(self) -> None:
+        self.mirror.take(mirror.Changes((), 4))
+        self.assertEqual(10, self.mirror.revision)
+
+
+class TestFailures(MirrorCase):
+    """Calls without result."""
+
+    def test_retries_grow_to_a_bound(self) -> None:
+        self.assertEqual(0.0, self.mirror.retry_delay_s(1.0))
+        delays = []
+        for _ in range(8):
+            self.mirror.take(mirror.Failure.REFUSED)
+            delays.append(self.mirror.retry_delay_s(1.0))
+        self.assertEqual(sorted(delays), delays)
+        self.assertEqual(mirror.RETRY_LAST_S, delays[-1])
+        self.mirror.take(mirror.Page((), False, 20))
+        self.assertEqual(0.0, self.mirror.retry_delay_s(1.0))
+
+    def test_copy_stays_while_the_store_is_away(self) -> None:
+        self.mirror.take(mirror.Failure.UNREACHABLE)
+        self.assertEqual(2, len(self.mirror.item_by_key))
--- /dev/null
+++ b/godwitturn/tests/test_platform_store.py
@@ -0,0 +1,169 @@
+"""Tests of the store's client against a server on loopback."""
+
+import base64
+from collections.abc import Callable
+import json
+from typing import Any
+import unittest
+
+from godwitturn.core.transparent import mirror
+from godwitturn.core.transparent import registration
+from godwitturn.daemons import http_client
+from godwitturn.daemons import http_server
+from godwitturn.daemons import reactor
+from godwitturn.platform import store
+
+LIMIT_S = 10.0
+
+
+class StoreCase(unittest.TestCase):
+    """A server that notes requests and answers what it is told."""
+
+    def setUp(self) -> None:
+        self.loop = reactor.Reactor()
+        self.requests: list[tuple[str, str, bytes]] = []
+        self.answer: tuple[int, Any] = (200, {})
+        self.server = http_server.HttpServer(
+            self.loop, ("127.0.0.1", 0), self.handle
+        )
+        self.addCleanup(self.server.close)
+        self.client = http_client.HttpClient(self.loop, self.server.address)
+        self.addCleanup(self.client.close)
+        self.store = store.Store(self.client)
+
+    def handle(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        """Answers a request."""
+        self.requests.append((method, target, body))
+        status, document = self.answer
+        if isinstance(document, bytes):
+            return status, document
+        return status, json.dumps(document).encode()
+
+    def call(self, begin: Callable[[Callable[[Any], None]], None]) -> Any:
+        """Makes a call and returns its result."""
+        results: list[Any] = []
+
+        def done(result: Any) -> None:
+            results.append(result)
+            self.loop.stopped = True
+
+        def give_up() -> None:
+            self.loop.stopped = True
+
+        self.loop.stopped = False
+        timer = self.loop.call_later(LIMIT_S, give_up)
+        begin(done)
+        self.loop.run()
+        timer.cancel()
+        self.assertEqual(1, len(results))
+        return results[0]
+
+
+class TestReads(StoreCase):
+    """Pages and watches."""
+
+    def test_page(self) -> None:
+        row = {
+            "key": "op/a b",
+            "value": base64.b64encode(b"\x00x").decode(),
+            "revision": 4,
+            "created": 4,
+            "lease": 0,
+        }
+        self.answer = (200, {"items": [row], "has_more": True, "at": 9})
+        result = self.call(
+            lambda done: self.store.read(mirror.ReadPage("op/", "a&b"), done)
+        )
+        page = mirror.Page((mirror.Item("op/a b", b"\x00x", 4),), True, 9)
+        self.assertEqual(page, result)
+        self.assertEqual(
+            "/kv-range?prefix=op%2F&after=a%26b", self.requests[0][1]
+        )
+
+    def test_watch(self) -> None:
+        row = {"key": "op/a", "revision": 5, "deleted": True}
+        self.answer = (200, {"events": [row], "at": 5})
+        result = self.call(
+            lambda done: self.store.read(mirror.Watch("op/", 4, 2.0), done)
+        )
+        changes = mirror.Changes((mirror.Item("op/a", None, 5),), 5)
+        self.assertEqual(changes, result)
+        self.assertIn("wait_ms=2000", self.requests[0][1])
+
+    def test_failures(self) -> None:
+        cases: tuple[tuple[int, Any, mirror.Failure], ...] = (
+            (410, {}, mirror.Failure.HISTORY_GONE),
+            (503, {}, mirror.Failure.REFUSED),
+            (429, {}, mirror.Failure.REFUSED),
+            (200, b"no json", mirror.Failure.MALFORMED),
+            (200, {"items": 3}, mirror.Failure.MALFORMED),
+        )
+        for status, body, failure in cases:
+            with self.subTest(status=status, body=body):
+                self.answer = (status, body)
+                result = self.call(
+                    lambda done: self.store.read(
+                        mirror.ReadPage("op/", ""), done
+                    )
+                )
+                self.assertEqual(failure, result)
+
+    def test_unreachable(self) -> None:
+        self.server.close()
+        result = self.call(
+            lambda done: self.store.read(mirror.ReadPage("op/", ""), done)
+        )
+        self.assertEqual(mirror.Failure.UNREACHABLE, result)
+
+
+class TestWrites(StoreCase):
+    """Leases and entries."""
+
+    def test_lease(self) -> None:
+        self.answer = (200, {"lease": 77, "ttl_ms": 10000})
+        result = self.call(
+            lambda done: self.store.write(registration.GrantLease(10.0), done)
+        )
+        self.assertEqual(registration.Granted(77), result)
+        self.assertEqual(
+            ("POST", "/kv-lease", b'{"ttl_ms": 10000}'), self.requests[0]
+        )
+
+    def test_entry(self) -> None:
+        call = registration.PutEntry("k", b"v", 77)
+        self.answer = (200, {"revision": 3})
+        self.assertEqual(
+            registration.Outcome.DONE,
+            self.call(lambda done: self.store.write(call, done)),
+        )
+        document = json.loads(self.requests[0][2])
+        self.assertEqual(
+            [{"key": "k", "value": "dg==", "lease": 77}], document["puts"]
+        )
+
+    def test_lost_lease_and_refusal(self) -> None:
+        cases = (
+            (404, registration.Outcome.LEASE_GONE),
+            (503, registration.Outcome.FAILED),
+            (200, registration.Outcome.DONE),
+        )
+        for status, outcome in cases:
+            with self.subTest(status):
+                self.answer = (status, {})
+                self.assertEqual(
+                    outcome,
+                    self.call(
+                        lambda done: self.store.write(
+                            registration.KeepLease(7), done
+                        )
+                    ),
+                )
+
+    def test_calls_share_a_connection(self) -> None:
+        for _ in range(3):
+            self.call(
+                lambda done: self.store.write(registration.EndLease(7), done)
+            )
+        self.assertEqual(1, len(self.server.connections))
--- /dev/null
+++ b/godwitturn/tests/test_registration.py
@@ -0,0 +1,108 @@
+"""Tests of an agent's entry in the store."""
+
+import unittest
+
+from godwitturn.core.transparent import registration
+
+Outcome = registration.Outcome
+
+
+class RegistrationCase(unittest.TestCase):
+    """An entry that was written at second 0."""
+
+    def setUp(self) -> None:
+        self.entry = registration.Registration("agents/a", b"value")
+        self.answer(registration.Granted(7), now=0.0)
+        self.answer(Outcome.DONE, now=0.0)
+
+    def answer(
+        self,
+        result: registration.Granted | registration.Outcome,
+        *,
+        now: float,
+    ) -> registration.Call:
+        """Answers the call that is due."""
+        call = self.entry.next_call(now=now)
+        assert call is not None
+        self.entry.take(call, result, now=now, draw=1.0)
+        return call
+
+
+class TestLease(RegistrationCase):
+    """Grant, renewal and loss."""
+
+    def test_order_of_calls(self) -> None:
+        entry = registration.Registration("k", b"v")
+        self.entry = entry
+        self.assertEqual(
+            registration.GrantLease(registration.LEASE_S),
+            self.answer(registration.Granted(9), now=0.0),
+        )
+        self.assertEqual(
+            registration.PutEntry("k", b"v", 9),
+            self.answer(Outcome.DONE, now=0.0),
+        )
+        self.assertIsNone(entry.next_call(now=1.0))
+        self.assertEqual(
+            registration.KeepLease(9),
+            entry.next_call(now=registration.RENEWAL_S),
+        )
+
+    def test_lapsed_lease_is_granted_and_written_again_at_once(self) -> None:
+        now = registration.RENEWAL_S
+        self.answer(Outcome.LEASE_GONE, now=now)
+        self.assertIsInstance(
+            self.entry.next_call(now=now), registration.GrantLease
+        )
+
+    def test_lease_that_lapsed_before_the_write(self) -> None:
+        entry = registration.Registration("k", b"v")
+        self.entry = entry
+        self.answer(registration.Granted(9), now=0.0)
+        self.answer(Outcome.LEASE_GONE, now=0.0)
+        self.assertIsInstance(
+            entry.next_call(now=0.0), registration.GrantLease
+        )
+
+    def test_entry_is_back_within_two_seconds_of_an_outage(self) -> None:
+        now = registration.RENEWAL_S
+        while now < 20.0:
+            if self.entry.next_call(now=now) is not None:
+                self.answer(Outcome.FAILED, now=now)
+            now += 0.05
+        returned = now
+        while not isinstance(
+            self.entry.next_call(now=now), registration.KeepLease
+        ):
+            now += 0.05
+        self.answer(Outcome.LEASE_GONE, now=now)
+        self.answer(registration.Granted(8), now=now)
+        self.answer(Outcome.DONE, now=now)
+        self.assertLess(now - returned, 2.0)
+
+
+class TestMissingEntry(RegistrationCase):
+    """Balancers say that the entry is not in the store."""
+
+    def test_entry_is_written_again(self) -> None:
+        self.entry.missing(now=2.0)
+        self.assertEqual(
+            registration.PutEntry("agents/a", b"value", 7),
+            self.entry.next_call(now=2.0),
+        )
+
+    def test_balancers_that_lag_behind_a_new_entry(self) -> None:
+        self.entry.missing(now=0.5)
+        self.assertIsNone(self.entry.next_call(now=0.5))
+
+
+class TestEnd(RegistrationCase):
+    """The last call before the agent ends."""
+
+    def test_entry_of_an_ended_target_is_removed(self) -> None:
+        self.assertEqual(
+            registration.EndLease(7), self.entry.last_call(target_ended=True)
+        )
+
+    def test_entry_of_a_living_target_stays(self) -> None:
+        self.assertIsNone(self.entry.last_call(target_ended=False))
--- /dev/null
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -0,0 +1,66 @@
+"""Tests of the datagrams between balancers and agents."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from godwitturn.core.transparent import messages
+from godwitturn.protocol import transparent
+
+EXAMPLES: tuple[messages.Message, ...] = (
+    messages.Forward("core", True, b"\x00packet"),
+    messages.Forward("", False, b""),
+    messages.Refused(messages.Refusal.DRAINING, b"packet"),
+    messages.FlowMissing(b"packet"),
+    messages.FlowHeld((0xFFFFFFFF, 65535, 1, 443)),
+    messages.Announcement(
+        node="side-1",
+        service="core",
+        data_centre="a",
+        run=2**47,
+        sequence=9,
+        incarnation="i-1/17",
+        state=messages.TargetState.READY,
+        slots=3,
+        flows=17,
+        work=2,
+        cold_ms=0,
+        balancers=("10.0.0.1", "10.0.0.2"),
+    ),
+    messages.Greeting(12, True, 1.5, False),
+    messages.PeerStatus(12, ("10.1.0.1",), "a", True),
+)
+
+
+class TestEncoding(unittest.TestCase):
+    """Messages survive the wire."""
+
+    def test_round_trip(self) -> None:
+        for message in EXAMPLES:
+            with self.subTest(type(message).__name__):
+                data = transparent.encode(message)
+                self.assertEqual(message, transparent.decode(data))
+
+
+class TestMalformed(unittest.TestCase):
+    """Bad datagrams are told from good ones and raise nothing."""
+
+    @hypothesis.given(strategies.binary(max_size=64))
+    def test_random_bytes(self, data: bytes) -> None:
+        transparent.decode(data)
+
+    @hypothesis.given(
+        strategies.sampled_from(EXAMPLES),
+        strategies.integers(0, 40),
+        strategies.binary(max_size=3),
+    )
+    def test_damaged_messages(
+        self, message: messages.Message, at: int, noise: bytes
+    ) -> None:
+        data = transparent.encode(message)
+        transparent.decode(data[:at] + noise + data[at + len(noise) :])
+        transparent.decode(data[:at])
+
+    def test_empty_datagram(self) -> None:
+        self.assertIsNone(transparent.decode(b""))
--- /dev/null
+++ b/godwitturn/tests/test_transparent_world.py
@@ -0,0 +1,326 @@
+"""Tests of balancers and agents together, with a model of the router."""
+
+import unittest
+
+from godwitturn.standins import transparent_world
+
+BALANCERS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+VMS = tuple(f"10.1.0.{number}" for number in range(1, 8))
+
+
+class WorldCase(unittest.TestCase):
+    """Starts three balancers and seven targets of one service."""
+
+    def setUp(self) -> None:
+        self.world = transparent_world.World()
+        for address in VMS:
+            self.world.start_vm(address)
+        for address in BALANCERS:
+            self.world.start_balancer(address)
+        self.world.run(1.0)
+
+    def open_flows(
+        self, count: int, *, gap_s: float = 0.01
+    ) -> list[transparent_world.ModelClient]:
+        """Opens flows one after the other and lets them settle."""
+        clients = []
+        for _ in range(count):
+            clients.append(self.world.open_flow())
+            self.world.run(gap_s)
+        self.world.run(1.0)
+        return clients
+
+    def request_all(
+        self, clients: list[transparent_world.ModelClient]
+    ) -> None:
+        """Sends a request on each flow and lets it be answered."""
+        for client in clients:
+            self.world.request(client)
+        self.world.run(1.5)
+
+    def assert_served(
+        self, clients: list[transparent_world.ModelClient], answers: int
+    ) -> None:
+        """Checks that no flow was reset and all requests were answered."""
+        self.assertEqual([], [c for c in clients if c.resets])
+        self.assertEqual(
+            [], [c for c in clients if not c.accepted or c.answers < answers]
+        )
+
+    def holders(self) -> dict[str, int]:
+        """Returns how many flows each target holds."""
+        return {
+            vm.address: len(vm.target.flows)
+            for vm in self.world.vm_by_address.values()
+            if vm.target is not None
+        }
+
+
+class TestPlacement(WorldCase):
+    """Spread of flows over targets."""
+
+    def test_forty_flows_on_seven_equal_targets(self) -> None:
+        self.open_flows(40)
+        counts = list(self.holders().values())
+        self.assertEqual(40, sum(counts))
+        self.assertLess(max(counts) / (40 / 7), 1.25)
+
+    def test_burst_of_openings(self) -> None:
+        self.open_flows(140, gap_s=0.0)
+        counts = list(self.holders().values())
+        self.assertEqual(140, sum(counts))
+        self.assertLess(max(counts) / 20, 1.25)
+
+
+class TestPlannedChanges(WorldCase):
+    """Flows survive planned changes."""
+
+    def test_rolling_restart_with_mod_hashing(self) -> None:
+        clients = self.open_flows(60)
+        for round_number, address in enumerate(BALANCERS, start=1):
+            self.world.rotation.remove(address)
+            self.world.run(0.2)
+            self.world.kill_balancer(address)
+            self.request_all(clients)
+            self.world.start_balancer(address, rotate=False)
+            self.world.run(0.6)
+            self.world.rotation.append(address)
+            self.request_all(clients)
+            self.assert_served(clients, 2 * round_number)
+
+    def test_changed_shares_leave_flows_where_they_are(self) -> None:
+        self.world.start_vm("10.1.1.1", service="desk")
+        self.world.configure_all(
+            transparent_world.configuration(
+                2, shares=(("core", 1), ("desk", 1))
+            )
+        )
+        self.world.run(0.5)
+        clients = self.open_flows(30)
+        self.world.configure_all(
+            transparent_world.configuration(3, shares=(("core", 1),))
+        )
+        # Restarted balancers know neither flows nor the older shares.
+        for address in BALANCERS:
+            self.world.start_balancer(address)
+        self.world.run(1.0)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+    def test_draining_target_keeps_its_flows_and_gets_no_new_ones(
+        self,
+    ) -> None:
+        clients = self.open_flows(21)
+        target = self.world.vm_by_address[VMS[0]].target
+        assert target is not None
+        target.draining = True
+        self.world.run(1.5)
+        held = set(target.flows)
+        clients += self.open_flows(21)
+        self.assertEqual(held, target.flows)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+    def test_evacuated_data_centre_gets_no_openings(self) -> None:
+        vm = self.world.start_vm("10.1.2.1", data_centre="b")
+        self.world.run(0.5)
+        assert vm.target is not None and vm.agent is not None
+        self.world.closed = frozenset({"b"})
+        self.world.configure_all(transparent_world.configuration(2))
+        self.world.run(0.5)
+        self.assertTrue(vm.agent.evacuated)
+        self.open_flows(20)
+        self.assertEqual(set(), vm.target.flows)
+        self.world.closed = frozenset()
+        self.world.configure_all(transparent_world.configuration(3))
+        self.world.run(0.6)
+        self.open_flows(20)
+        self.assertNotEqual(set(), vm.target.flows)
+
+    def test_late_balancer_is_refused_by_the_agent(self) -> None:
+        """One balancer doesn't learn of the evacuation."""
+        vm = self.world.start_vm("10.1.2.1", data_centre="b")
+        self.world.run(0.5)
+        late = self.world.balancer_by_address[BALANCERS[0]]
+        self.world.closed = frozenset({"b"})
+        self.world.configuration = transparent_world.configuration(2)
+        for address in BALANCERS[1:]:
+            self.world.configure(self.world.balancer_by_address[address])
+        self.world.run(0.6)
+        self.assertEqual(frozenset(), late.closed_data_centres)
+        assert vm.target is not None
+        clients = self.open_flows(30)
+        self.assertEqual(set(), vm.target.flows)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+
+class TestFailures(WorldCase):
+    """Flows survive, or end at once, when processes fail."""
+
+    def test_agent_restarted_beside_a_living_target(self) -> None:
+        clients = self.open_flows(35)
+        vm = self.world.vm_by_address[VMS[0]]
+        vm.agent = None
+        self.world.run(0.5)
+        self.world.start_agent(vm)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+    def test_all_balancers_and_agents_restarted(self) -> None:
+        clients = self.open_flows(35)
+        for vm in self.world.vm_by_address.values():
+            self.world.start_agent(vm)
+        for address in BALANCERS:
+            self.world.start_balancer(address)
+        self.world.run(1.0)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+    def test_answer_to_a_search_outruns_the_announcement(self) -> None:
+        clients = self.open_flows(35)
+        self.world.rotation = [BALANCERS[0]]
+        self.world.start_balancer(BALANCERS[0])
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+    def test_flows_of_a_restarted_target_are_reset_while_idle(self) -> None:
+        clients = self.open_flows(35)
+        vm = self.world.vm_by_address[VMS[0]]
+        assert vm.target is not None
+        ended = set(vm.target.flows)
+        self.world.start_target(vm)
+        self.world.run(0.5)
+        reset = {client.flow_id for client in clients if client.resets}
+        self.assertEqual(ended, reset)
+
+    def test_flows_of_a_lost_vm_are_reset_with_their_next_packet(
+        self,
+    ) -> None:
+        clients = self.open_flows(35)
+        vm = self.world.vm_by_address[VMS[0]]
+        assert vm.target is not None
+        ended = set(vm.target.flows)
+        vm.agent = None
+        vm.target = None
+        self.world.run(1.5)
+        self.request_all(clients)
+        reset = {client.flow_id for client in clients if client.resets}
+        self.assertEqual(ended, reset)
+
+    def test_cut_balancer_resets_nothing_and_is_not_ready(self) -> None:
+        clients = self.open_flows(35)
+        address = BALANCERS[0]
+        for vm in VMS:
+            self.world.cut.add((vm, address))
+        self.world.run(2.0)
+        balancer = self.world.balancer_by_address[address]
+        self.assertFalse(balancer.ready(now=self.world.now))
+        self.request_all(clients)
+        self.assertEqual([], [c for c in clients if c.resets])
+
+    def test_opening_whose_target_is_gone_is_offered_elsewhere(self) -> None:
+        vm = self.world.vm_by_address[VMS[0]]
+        vm.agent = None
+        vm.target = None
+        clients = self.open_flows(14)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+    def test_full_target_hands_openings_on(self) -> None:
+        target = self.world.vm_by_address[VMS[0]].target
+        assert target is not None
+        target.full = True
+        clients = self.open_flows(14)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+    def test_loss_of_a_tenth_of_all_packets(self) -> None:
+        self.world.loss = 0.1
+        clients = self.open_flows(40)
+        self.request_all(clients)
+        self.assertEqual([], [c for c in clients if c.resets])
+        unanswered = [c for c in clients if not c.answers]
+        # Three copies of an opening and of a request, each over four legs.
+        self.assertLess(len(unanswered), 8)
+
+    def test_flow_that_no_one_holds_is_reset_at_once(self) -> None:
+        client = self.world.open_flow()
+        client.accepted = True  # no opening is sent
+        self.world.request(client)
+        self.world.run(0.1)
+        self.assertEqual(1, client.resets)
+
+    def test_unanswered_search_resets_nothing(self) -> None:
+        """The agent that doesn't answer may hold the flow."""
+        clients = self.open_flows(35)
+        for balancer in BALANCERS:
+            self.world.cut.add((VMS[0], balancer))
+        for address in BALANCERS:
+            self.world.start_balancer(address)
+        self.world.run(0.7)
+        for client in clients:
+            self.world.request(client)
+        self.world.run(0.3)
+        self.assertEqual([], [c for c in clients if c.resets])
+
+    def test_reused_address_gets_no_packet_of_another_service(self) -> None:
+        clients = self.open_flows(35)
+        self.world.vm_by_address.pop(VMS[0])
+        vm = self.world.start_vm(VMS[0], service="desk")
+        self.request_all(clients)
+        assert vm.target is not None
+        self.assertEqual(set(), vm.target.flows)
+        self.assertEqual({}, vm.target.requests)
+        self.assertEqual(0, vm.target.strangers)
+
+
+class TestColdTargets(WorldCase):
+    """Cold targets get no more than they bear."""
+
+    def test_reconnecting_clients_wait_for_cold_targets(self) -> None:
+        self.world.configure_all(
+            transparent_world.configuration(2, cold_per_second=4.0)
+        )
+        self.world.run(0.6)
+        for vm in self.world.vm_by_address.values():
+            self.world.start_target(vm, cold_ms=2000)
+        self.world.run(0.1)
+        clients = self.open_flows(100, gap_s=0.002)
+        bound = 4.0 * 1.5 + 5
+        for vm in self.world.vm_by_address.values():
+            assert vm.target is not None
+            times = vm.target.openings
+            for start in times:
+                second = [t for t in times if start <= t < start + 1.0]
+                self.assertLessEqual(len(second), bound)
+        accepted = sum(client.accepted for client in clients)
+        self.assertGreater(accepted, 70)
+
+
+class TestStart(unittest.TestCase):
+    """Starting balancers."""
+
+    def test_openings_before_the_first_announcement_are_kept(self) -> None:
+        world = transparent_world.World()
+        world.start_vm(VMS[0])
+        world.run(1.0)
+        world.start_balancer(BALANCERS[0])
+        client = world.open_flow()
+        world.run(0.15)
+        self.assertTrue(client.accepted)
+        self.assertEqual(0, client.resets)
+
+    def test_agents_are_learnt_from_other_balancers(self) -> None:
+        world = transparent_world.World()
+        world.start_vm(VMS[0])
+        world.start_balancer(BALANCERS[0])
+        world.run(1.0)
+        registered = world.vm_by_address.pop(VMS[0])
+        lonely = world.start_balancer(BALANCERS[1])
+        world.vm_by_address[VMS[0]] = registered
+        lonely.meet(BALANCERS[0], now=world.now)
+        first = world.balancer_by_address[BALANCERS[0]]
+        first.meet(BALANCERS[1], now=world.now)
+        world.run(1.5)
+        self.assertTrue(lonely.ready(now=world.now))
