Probe a target that leaves packets unanswered

Change: after 0.3 s without any packet from the target the agent connects to its address; if nothing listens, the target counts as ended, and packets that it left unanswered are handed back.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -26,6 +26,10 @@
 FLOW_SWEEP_S = 1.0
 # Packets that the target returns come back within milliseconds.
 DELIVERIES_KEPT = 1024
+# Targets answer openings and requests within milliseconds; a busy one takes
+# longer, so silence alone doesn't count as its end.
+TARGET_ANSWER_S = 0.3
+PROBE_INTERVAL_S = 1.0
 # Heartbeats are counted from 1; the first one tells that the target has
 # started after this agent.
 FIRST_SEQUENCE = 1
@@ -64,10 +68,14 @@
     Attributes:
         balancer: Who forwarded it.
         forward: What it forwarded.
+        segment: The packet.
+        at: When the target got it.
     """
 
     balancer: str
     forward: messages.Forward
+    segment: segments.Segment
+    at: float
 
 
 @attrs.define(eq=False, repr=False)
@@ -125,6 +133,8 @@
         factory=collections.OrderedDict
     )
     _waiting: dict[segments.FlowId, WaitingOpening] = attrs.field(factory=dict)
+    _unanswered_since: float | None = None
+    _probed_at: float = float("-inf")
     _tag: int = 0
     _sequence: int = 0
     _announced_at: float = float("-inf")
@@ -214,8 +224,47 @@
                 {"incarnation": self.incarnation, "reason": reason},
             ),
             *self.announce(now=now),
+            *self._hand_back_unanswered(),
         ]
 
+    def _hand_back_unanswered(self) -> list[messages.Action]:
+        """Hands back what a target that has ended left without answer."""
+        since, self._unanswered_since = self._unanswered_since, None
+        deliveries = list(self._deliveries.values())
+        self._deliveries.clear()
+        if since is None:
+            return []
+        actions: list[messages.Action] = []
+        for delivery in deliveries:
+            if delivery.at < since:
+                continue
+            if delivery.segment.opening:
+                actions += self._refuse(
+                    delivery.balancer,
+                    delivery.segment,
+                    messages.Refusal.DOWN,
+                )
+            else:
+                actions.append(
+                    messages.Send(
+                        delivery.balancer,
+                        messages.FlowMissing(delivery.segment.data),
+                    )
+                )
+        return actions
+
+    def _probe(self, now: float) -> list[messages.Action]:
+        """Probes a target that should have answered by now."""
+        if (
+            self._unanswered_since is None
+            or now - self._unanswered_since < TARGET_ANSWER_S
+            or now - self._probed_at < PROBE_INTERVAL_S
+            or self.state == messages.TargetState.DOWN
+        ):
+            return []
+        self._probed_at = now
+        return [messages.ProbeTarget()]
+
     def _ignored(
         self, heartbeat: heartbeats.Heartbeat, reason: str
     ) -> list[messages.Action]:
@@ -261,7 +310,9 @@
             if segment.ending:
                 flow.client_ended = True
                 self._changed = True
-            actions: list[messages.Action] = [self._deliver(balancer, forward)]
+            actions: list[messages.Action] = [
+                self._deliver(balancer, forward, segment, now=now)
+            ]
             if forward.search and flow.accepted:
                 actions.append(
                     messages.Send(balancer, messages.FlowHeld(segment.flow_id))
@@ -279,7 +330,7 @@
             ]
         # The target may hold flows from before this agent started; it returns
         # packets of those that it doesn't hold.
-        return [self._deliver(balancer, forward)]
+        return [self._deliver(balancer, forward, segment, now=now)]
 
     def _admit(
         self,
@@ -298,7 +349,7 @@
         self.flow_by_id[segment.flow_id] = Flow(balancer, now)
         self._changed = True
         return [
-            self._deliver(balancer, forward),
+            self._deliver(balancer, forward, segment, now=now),
             messages.Record(
                 "opening_delivered",
                 {
@@ -397,12 +448,20 @@
         ]
 
     def _deliver(
-        self, balancer: str, forward: messages.Forward
+        self,
+        balancer: str,
+        forward: messages.Forward,
+        segment: segments.Segment,
+        *,
+        now: float,
     ) -> messages.Deliver:
         self._tag = self._tag % 0xFFFFFFFF + 1
-        self._deliveries[self._tag] = Delivery(balancer, forward)
+        self._deliveries[self._tag] = Delivery(balancer, forward, segment, now)
         if len(self._deliveries) > DELIVERIES_KEPT:
             self._deliveries.popitem(last=False)
+        wants_answer = segment.opening or segment.size or forward.search
+        if wants_answer and self._unanswered_since is None:
+            self._unanswered_since = now
         return messages.Deliver(forward.data, self._tag)
 
     # Packets from the target.
@@ -411,6 +470,7 @@
         self, segment: segments.Segment, *, now: float
     ) -> list[messages.Action]:
         """Sends a target's packet to the client, or hands it back."""
+        self._unanswered_since = None
         if segment.returned:
             return self._returned(segment)
         flow = self.flow_by_id.get(segment.flow_id)
@@ -450,7 +510,7 @@
         if segment.opening:
             self.flow_by_id.pop(segment.flow_id, None)
             return self._refuse(
-                delivery.balancer, segment_with(segment, data), _FULL
+                delivery.balancer, delivery.segment, messages.Refusal.FULL
             )
         if flow is not None:
             del self.flow_by_id[segment.flow_id]
@@ -531,7 +591,9 @@
         if now - self._swept_at >= FLOW_SWEEP_S:
             self._swept_at = now
             self._sweep(now)
-        actions = self._admit_waiting(now) if self._waiting else []
+        actions = self._probe(now)
+        if self._waiting:
+            actions += self._admit_waiting(now)
         gap_s = ANNOUNCE_GAP_S if self._changed else ANNOUNCE_INTERVAL_S
         if now - self._announced_at >= gap_s:
             actions += self.announce(now=now)
@@ -555,11 +617,3 @@
     def count(self, name: str) -> None:
         """Adds one to a counter."""
         self.counts[name] = self.counts.get(name, 0) + 1
-
-
-_FULL = messages.Refusal.FULL
-
-
-def segment_with(segment: segments.Segment, data: bytes) -> segments.Segment:
-    """Returns a segment with the packet as the client sent it."""
-    return attrs.evolve(segment, data=data, returned=False, tag=0)
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -197,6 +197,11 @@
     tag: int
 
 
+@attrs.define(frozen=True, repr=False)
+class ProbeTarget:
+    """Find out whether anything listens at the target's address."""
+
+
 @attrs.define(frozen=True, repr=False)
 class Answer:
     """Send a target's packet to the client.
@@ -223,4 +228,4 @@
     fields: dict[str, object]
 
 
-Action = Send | Reset | Deliver | Answer | Record
+Action = Send | Reset | Deliver | ProbeTarget | Answer | Record
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -57,7 +57,6 @@
         self.target_socket = channels.DatagramSocket(
             self.loop, settings.from_target, self.target_packet_received
         )
-        self.target_socket.unreachable = self.target_unreachable
         self.peers = channels.PeerChannel(
             self.loop,
             (settings.address, settings.peer_port),
@@ -152,6 +151,10 @@
                     self.target_socket.send(
                         packets.with_tag(data, tag), self.target
                     )
+                case messages.ProbeTarget():
+                    channels.probe(
+                        self.loop, self.target, self.target_unreachable
+                    )
                 case messages.Answer(flow_id, data):
                     self.clients.send(
                         data,
--- a/godwitturn/platform/channels.py
+++ b/godwitturn/platform/channels.py
@@ -1,6 +1,7 @@
 """Datagram sockets of a daemon on the platform."""
 
 from collections.abc import Callable
+import errno
 import selectors
 import socket
 
@@ -12,6 +13,8 @@
 BUFFER_BYTES = 1 << 20
 # Datagrams read before other sockets and timers have their turn.
 BATCH = 64
+# A listener on the same machine accepts within milliseconds.
+PROBE_TIMEOUT_S = 0.5
 
 
 class DatagramSocket:
@@ -23,7 +26,6 @@
         address: tuple[str, int],
         received: Callable[[bytes, str], None],
     ) -> None:
-        self.unreachable: Callable[[], None] | None = None
         self._received = received
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(
@@ -37,9 +39,6 @@
         """Sends a datagram; one that can't be sent counts as lost."""
         try:
             self._socket.sendto(data, address)
-        except ConnectionRefusedError:
-            if self.unreachable is not None:
-                self.unreachable()
         except OSError:
             return  # full buffer or no route: the sender repeats what matters
 
@@ -47,10 +46,6 @@
         for _ in range(BATCH):
             try:
                 data, sender = self._socket.recvfrom(RECEIVE_BYTES)
-            except ConnectionRefusedError:
-                if self.unreachable is not None:
-                    self.unreachable()
-                continue
             except OSError:
                 return
             self._received(data, sender[0])
@@ -81,3 +76,36 @@
             self._malformed(sender)
         else:
             self._deliver(sender, message)
+
+
+def probe(
+    loop: reactor.Reactor,
+    address: tuple[str, int],
+    refused: Callable[[], None],
+) -> None:
+    """Connects to an address and closes again.
+
+    Args:
+        loop: The event loop.
+        address: The address.
+        refused: Called if nothing listens there. Silence tells nothing.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+
+    def finish() -> None:
+        if sock.fileno() < 0:
+            return
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        loop.unwatch(sock)
+        sock.close()
+        if error == errno.ECONNREFUSED:
+            refused()
+
+    error = sock.connect_ex(address)
+    if error == errno.ECONNREFUSED:
+        sock.close()
+        refused()
+        return
+    loop.watch(sock, selectors.EVENT_WRITE, finish)
+    loop.call_later(PROBE_TIMEOUT_S, finish)
--- a/godwitturn/standins/transparent_world.py
+++ b/godwitturn/standins/transparent_world.py
@@ -324,6 +324,8 @@
                     self.at(DELAY_S, functools.partial(self._at_client, data))
                 case messages.Deliver(data, tag):
                     self._to_target(source, packets.with_tag(data, tag))
+                case messages.ProbeTarget():
+                    self.at(0.0, functools.partial(self._probe, source))
                 case messages.Answer(_, data):
                     if self.random.random() >= self.loss:
                         self.at(
@@ -391,6 +393,12 @@
                 actions = vm.agent.handle_target_packet(segment, now=self.now)
                 self.perform(address, actions)
 
+    def _probe(self, address: str) -> None:
+        vm = self.vm_by_address[address]
+        if vm.agent is not None and vm.target is None:
+            actions = vm.agent.handle_unreachable(now=self.now)
+            self.perform(address, actions)
+
     # Clients.
 
     def open_flow(self) -> ModelClient:
--- a/godwitturn/tests/test_transparent_world.py
+++ b/godwitturn/tests/test_transparent_world.py
@@ -227,6 +227,32 @@
         self.request_all(clients)
         self.assert_served(clients, 1)
 
+    def test_crashed_target_is_noticed_and_its_flows_are_reset(self) -> None:
+        clients = self.open_flows(35)
+        vm = self.world.vm_by_address[VMS[0]]
+        assert vm.target is not None
+        ended = [self.world.client_by_id[f] for f in vm.target.flows]
+        vm.target = None
+        self.world.request(ended[0])
+        self.world.run(0.5)
+        self.assertEqual([1] * len(ended), [c.resets for c in ended])
+        self.assertEqual(len(ended), sum(c.resets for c in clients))
+
+    def test_restarted_agent_beside_no_target_delays_no_reset(self) -> None:
+        """Flows died with all targets; one target doesn't come back."""
+        clients = self.open_flows(35)
+        for vm in self.world.vm_by_address.values():
+            self.world.start_agent(vm)
+            self.world.start_target(vm)
+        self.world.vm_by_address[VMS[0]].target = None
+        for address in BALANCERS:
+            self.world.start_balancer(address)
+        self.world.run(0.6)
+        for client in clients:
+            self.world.request(client)
+        self.world.run(0.5)
+        self.assertEqual([], [c for c in clients if not c.resets])
+
     def test_full_target_hands_openings_on(self) -> None:
         target = self.world.vm_by_address[VMS[0]].target
         assert target is not None
