--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -37,6 +37,8 @@
 FLOW_SWEEP_S = 5.0
 # A balancer that starts serves without answers of all agents after this.
 START_GRACE_S = 0.5
+# Packets kept until an agent is known.
+MAX_EARLY = 512
 # Routers take a balancer out of rotation after two misses, which they count
 # twice a second.
 MISSES_TO_LEAVE = 2
@@ -154,6 +156,7 @@
     _postponed_by_id: dict[segments.FlowId, segments.Segment] = attrs.field(
         factory=dict
     )
+    _early: list[segments.Segment] = attrs.field(factory=list)
     _ticked_at: float | None = None
     _peers_at: float = float("-inf")
     _swept_at: float = 0.0
@@ -418,6 +421,16 @@
             return []
         return self._reset(segment, "no_target", tried=len(tried))
 
+    def _handle_early(self, *, now: float) -> list[messages.Action]:
+        """Handles packets that came before any agent was known."""
+        if not self.table.target_by_address:
+            return []
+        early, self._early = self._early, []
+        actions: list[messages.Action] = []
+        for segment in early:
+            actions += self.handle_packet(segment, now=now)
+        return actions
+
     def _offer_postponed(self, *, now: float) -> list[messages.Action]:
         """Offers the openings that came before targets were known."""
         actions: list[messages.Action] = []
@@ -472,6 +485,8 @@
             return []
         agents = set(self.table.target_by_address) - excluded
         if not agents:
+            if self._uncertain(now) and len(self._early) < MAX_EARLY:
+                self._early.append(segment)
             if excluded and not self._uncertain(now):
                 return self._reset(segment, "flow_unknown")
             return []
@@ -607,6 +622,7 @@
         )
         return [
             *(self._reset_ended(sender) if ended else ()),
+            *self._handle_early(now=now),
             *self._offer_postponed(now=now),
             messages.Record(
                 "target_announced",
@@ -659,6 +675,7 @@
                     messages.Record("paused", {"seconds": round(pause_s, 2)})
                 )
         self._ticked_at = now
+        actions += self._handle_early(now=now)
         actions += self._offer_postponed(now=now)
         actions += self._greetings(now)
         if now - self._peers_at >= PEER_INTERVAL_S:
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -1,14 +1,13 @@
 """Program of an agent on the platform, beside one target."""
 
-import random
 import signal
-import sys
 import time
 
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import registration
+from godwitturn.daemons import draws
 from godwitturn.daemons import http_client
 from godwitturn.daemons import http_server
 from godwitturn.daemons import reactor
@@ -41,12 +40,11 @@
         self.target = settings.target
         self.loop = reactor.Reactor()
         self.log = lines.LineLog(settings.node)
-        self.draw = random.Random()
         self.core = agents.Agent(
             node=settings.node,
             service=settings.service,
             data_centre=settings.data_centre,
-            run=self.draw.getrandbits(48),
+            run=draws.number(),
             cold=cold_limit.ColdLimit(
                 settings.cold_overshoot, settings.cold_slack
             ),
@@ -89,7 +87,7 @@
             self.store_busy = False
             failures = self.registration.failures
             self.registration.take(
-                call, result, now=self.loop.now, draw=self.draw.random()
+                call, result, now=self.loop.now, draw=draws.draw()
             )
             if result == registration.Outcome.FAILED:
                 self.record("store_call_failed", call=type(call).__name__)
@@ -239,22 +237,3 @@
         self.loop.call_every(agents.TICK_S, self.tick)
         self.loop.call_every(LOG_INTERVAL_S, self.log.flush)
         self.loop.run()
-
-
-def main() -> int:
-    """Runs an agent.
-
-    Returns:
-        Exit status.
-    """
-    try:
-        program = AgentProgram(settings_module.load())
-    except settings_module.SettingsError as exc:
-        print(f"settings: {exc}", file=sys.stderr)
-        return 2
-    program.run()
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -1,13 +1,12 @@
 """Program of a balancer on the platform."""
 
-import random
 import signal
-import sys
 import time
 
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import mirror
+from godwitturn.daemons import draws
 from godwitturn.daemons import http_client
 from godwitturn.daemons import http_server
 from godwitturn.daemons import reactor
@@ -36,7 +35,6 @@
             started_at=self.loop.now,
         )
         self.was_ready = False
-        self.draw = random.Random()
         self.clients = channels.DatagramSocket(
             self.loop, settings.packets, self.packet_received
         )
@@ -79,7 +77,7 @@
             elif failed_before:
                 self.record("store_regained", prefix=prefix)
             self.store_changed(prefix, copy, changes)
-            delay_s = copy.retry_delay_s(self.draw.random())
+            delay_s = copy.retry_delay_s(draws.draw())
             self.loop.call_later(delay_s, call) if delay_s else call()
 
         call()
@@ -231,22 +229,3 @@
         self.loop.call_every(balancers.TICK_S, self.tick)
         self.loop.call_every(LOG_INTERVAL_S, self.log.flush)
         self.loop.run()
-
-
-def main() -> int:
-    """Runs a balancer.
-
-    Returns:
-        Exit status.
-    """
-    try:
-        settings = settings_module.load()
-    except settings_module.SettingsError as exc:
-        print(f"settings: {exc}", file=sys.stderr)
-        return 2
-    BalancerProgram(settings).run()
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/godwitturn/platform/store.py
+++ b/godwitturn/platform/store.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 import json
 from typing import Any
-import urllib.parse
 
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
@@ -39,18 +38,15 @@
         """Makes a reading call."""
         match call:
             case mirror.ReadPage(prefix, after):
-                query = {"prefix": prefix}
+                target = f"/kv-range?prefix={_quote(prefix)}"
                 if after:
-                    query["after"] = after
-                target = f"/kv-range?{urllib.parse.urlencode(query)}"
+                    target += f"&after={_quote(after)}"
                 timeout_s = CALL_TIMEOUT_S
             case mirror.Watch(prefix, revision, wait_s):
-                fields = {
-                    "prefix": prefix,
-                    "after": revision,
-                    "wait_ms": round(1000 * wait_s),
-                }
-                target = f"/kv-watch?{urllib.parse.urlencode(fields)}"
+                target = (
+                    f"/kv-watch?prefix={_quote(prefix)}&after={revision}"
+                    f"&wait_ms={round(1000 * wait_s)}"
+                )
                 timeout_s = wait_s + WATCH_MARGIN_S
 
         def answered(status: int | None, body: bytes) -> None:
@@ -72,6 +68,16 @@
         self._client.call(method, target, body, CALL_TIMEOUT_S, answered)
 
 
+def _quote(key: str) -> str:
+    """Returns a key as it stands in a query."""
+    if key.isascii() and key.replace("/", "").isalnum():
+        return key
+    # Needed for keys of other writers only; it is slow to import.
+    import urllib.parse
+
+    return urllib.parse.quote(key)
+
+
 def _read_result(
     call: mirror.ReadPage | mirror.Watch, status: int | None, body: bytes
 ) -> mirror.Page | mirror.Changes | mirror.Failure:
