Serve metrics and state, read changed settings, test both programs as processes

Settings are read again on SIGHUP and when the file changes; faulty ones leave the old in force. Both programs share their plumbing.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -43,6 +43,7 @@
         balancer: Balancer that last forwarded a packet of it.
         accepted: Whether the target has accepted the opening.
         waiting: Whether a request has no answer yet.
+        asked_at: When the first packet of that request came.
         client_ended: Whether the client has sent everything.
         target_ended: Whether the target has sent everything.
         used_at: When its last packet passed.
@@ -52,6 +53,7 @@
     used_at: float
     accepted: bool = False
     waiting: bool = False
+    asked_at: float = 0.0
     client_ended: bool = False
     target_ended: bool = False
 
@@ -289,6 +291,20 @@
         elapsed_ms = 1000 * (now - self.heartbeat_at)
         return max(0, round(self.heartbeat.cold_ms - elapsed_ms))
 
+    def describe(self) -> dict[str, object]:
+        """Returns what this agent believes, for operators."""
+        return {
+            "service": self.service,
+            "state": self.state.name.lower(),
+            "incarnation": self.incarnation,
+            "heartbeat_at": self.heartbeat_at,
+            "evacuated": self.evacuated,
+            "revision": self.revision,
+            "flows": len(self.flow_by_id),
+            "waiting": len(self._waiting),
+            "balancers": dict(self.balancer_heard_at),
+        }
+
     # Packets from balancers.
 
     def handle_forward(
@@ -305,8 +321,9 @@
         if flow is not None:
             flow.balancer = balancer
             flow.used_at = now
-            if segment.size:
+            if segment.size and not flow.waiting:
                 flow.waiting = True
+                flow.asked_at = now
             if segment.ending:
                 flow.client_ended = True
                 self._changed = True
@@ -482,8 +499,16 @@
         actions: list[messages.Action] = [
             messages.Answer(segment.flow_id, segment.data)
         ]
-        if segment.size:
+        if segment.size and flow.waiting:
             flow.waiting = False
+            actions.append(
+                messages.Observe(
+                    "answer_time",
+                    self.service,
+                    segment.flow_id[2:],
+                    now - flow.asked_at,
+                )
+            )
         if segment.accepting or not flow.accepted:
             flow.accepted = True
             if flow.balancer:
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -289,6 +289,37 @@
         )
         return 2 * ready >= len(neighbours) + 1 or not neighbours
 
+    def state(self) -> dict[str, object]:
+        """Returns what this balancer believes, for operators."""
+        flows: dict[str, int] = {}
+        for flow in self.flow_by_id.values():
+            flows[flow.agent] = flows.get(flow.agent, 0) + 1
+        return {
+            "version": (
+                self.configuration.version if self.configuration else None
+            ),
+            "revision": self.revision,
+            "closed_data_centres": sorted(self.closed_data_centres),
+            "stopping": self.stop is not None,
+            "peers": sorted(self.peer_by_address),
+            "targets": {
+                address: {
+                    "service": target.service,
+                    "data_centre": target.data_centre,
+                    "registered": target.registered,
+                    "heard_at": target.heard_at,
+                    "state": (
+                        target.announcement.state.name.lower()
+                        if target.announcement
+                        else "unannounced"
+                    ),
+                    "load": round(target.load(), 2),
+                    "flows_here": flows.get(address, 0),
+                }
+                for address, target in self.table.target_by_address.items()
+            },
+        }
+
     # Packets of clients.
 
     def handle_packet(
@@ -493,7 +524,15 @@
         self.search_by_id[segment.flow_id] = Search(set(agents), now)
         self.count("searches")
         allowed = self._services_by_endpoint.get(segment.flow_id[2:], set())
-        actions: list[messages.Action] = []
+        actions: list[messages.Action] = [
+            messages.Record(
+                "flow_searched",
+                {
+                    "flow": segments.flow_name(segment.flow_id),
+                    "agents": len(agents),
+                },
+            )
+        ]
         for agent in sorted(agents):
             service = self._service_of(agent)
             if service not in allowed:
@@ -524,22 +563,7 @@
             case messages.Announcement():
                 return self._announced(sender, message, now=now)
             case messages.FlowHeld():
-                self.table.hear(sender, now=now)
-                search = self.search_by_id.pop(message.flow_id, None)
-                self.flow_by_id[message.flow_id] = CachedFlow(
-                    agent=sender,
-                    accepted=True,
-                    tried={sender},
-                    sent_at=now,
-                    used_at=now,
-                )
-                service = self._service_of(sender)
-                return [
-                    messages.Send(
-                        sender, messages.Forward(service, False, data)
-                    )
-                    for data in (search.held if search else ())
-                ]
+                return self._held(sender, message.flow_id, now=now)
             case messages.PeerStatus():
                 self.peer_by_address[sender] = Peer(
                     now, message.data_centre, message.ready
@@ -551,6 +575,52 @@
                 self.count("unexpected_messages")
                 return []
 
+    def _held(
+        self, agent: str, flow_id: segments.FlowId, *, now: float
+    ) -> list[messages.Action]:
+        """Notes that an agent's target holds a flow."""
+        self.table.hear(agent, now=now)
+        service = self._service_of(agent)
+        known = self.flow_by_id.get(flow_id)
+        search = self.search_by_id.pop(flow_id, None)
+        flow = CachedFlow(
+            agent=agent,
+            accepted=True,
+            tried={agent},
+            sent_at=now,
+            used_at=now,
+        )
+        self.flow_by_id[flow_id] = flow
+        actions: list[messages.Action] = []
+        if known is not None and known.agent == agent:
+            flow.established = known.established
+            flow.acknowledged = known.acknowledged
+            if not known.accepted:
+                actions.append(
+                    messages.Observe(
+                        "opening_time",
+                        service,
+                        flow_id[2:],
+                        now - known.sent_at,
+                    )
+                )
+        if search is not None:
+            actions.append(
+                messages.Record(
+                    "flow_found",
+                    {
+                        "flow": segments.flow_name(flow_id),
+                        "agent": agent,
+                        "after_ms": round(1000 * (now - search.started_at)),
+                    },
+                )
+            )
+            actions += [
+                messages.Send(agent, messages.Forward(service, False, data))
+                for data in search.held
+            ]
+        return actions
+
     def handle_refusal(
         self,
         sender: str,
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -228,4 +228,21 @@
     fields: dict[str, object]
 
 
-Action = Send | Reset | Deliver | ProbeTarget | Answer | Record
+@attrs.define(frozen=True, repr=False)
+class Observe:
+    """Add a duration to a histogram.
+
+    Attributes:
+        name: What was measured.
+        service: The service.
+        endpoint: Address and port of the route.
+        seconds: The duration.
+    """
+
+    name: str
+    service: str
+    endpoint: tuple[int, int]
+    seconds: float
+
+
+Action = Observe | Send | Reset | Deliver | ProbeTarget | Answer | Record
--- a/godwitturn/core/transparent/segments.py
+++ b/godwitturn/core/transparent/segments.py
@@ -40,7 +40,14 @@
 def flow_name(flow_id: FlowId) -> str:
     """Returns a flow's id as it stands in logs: client, then route."""
     client, client_port, address, port = flow_id
-    return f"{_dotted(client)}:{client_port}-{_dotted(address)}:{port}"
+    return (
+        f"{endpoint_name(client, client_port)}-{endpoint_name(address, port)}"
+    )
+
+
+def endpoint_name(address: int, port: int) -> str:
+    """Returns an address and port as text."""
+    return f"{_dotted(address)}:{port}"
 
 
 def _dotted(number: int) -> str:
--- a/godwitturn/daemons/http_client.py
+++ b/godwitturn/daemons/http_client.py
@@ -163,10 +163,15 @@
         if done is not None:
             done(status, body)
 
-    def abandon(self) -> None:
-        """Gives up the call in progress, as if it had failed."""
+    def move(self, address: tuple[str, int]) -> None:
+        """Changes the address; the call in progress counts as failed."""
+        if address == self._address:
+            return
+        self._address = address
         if self._done is not None:
             self._fail()
+        else:
+            self.close()
 
     def close(self) -> None:
         """Closes the connection; the next call opens another one."""
--- a/godwitturn/metrics/registry.py
+++ b/godwitturn/metrics/registry.py
@@ -21,12 +21,13 @@
 
     Attributes:
         name: What is measured, as `answer_time` or `opening_tries`.
-        service_id: The service.
-        request_class: `idempotent`, `once` or `flow`.
+        service_id: The service, by number or name.
+        request_class: `idempotent`, `once` or `flow`; the route's address and
+            port where packets are forwarded unchanged.
     """
 
     name: str
-    service_id: int
+    service_id: int | str
     request_class: str
 
 
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -1,45 +1,34 @@
 """Program of an agent on the platform, beside one target."""
 
-import signal
-import time
-
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import registration
 from godwitturn.daemons import draws
 from godwitturn.daemons import http_client
-from godwitturn.daemons import http_server
-from godwitturn.daemons import reactor
-from godwitturn.logs import lines
+from godwitturn.daemons import metrics_page
 from godwitturn.platform import channels
 from godwitturn.platform import documents
 from godwitturn.platform import packets
+from godwitturn.platform import program
 from godwitturn.platform import settings as settings_module
 from godwitturn.platform import store
 
-LOG_INTERVAL_S = 0.2
 # The store answers within milliseconds; entries lapse with their lease anyway.
 STOP_WAIT_S = 0.5
 _INSTANCES = "/instances/"
 
 
-class AgentProgram:
+class AgentProgram(program.Program):
     """Joins sockets, the store and the decisions of an agent."""
 
     def __init__(self, settings: settings_module.Settings) -> None:
-        if (
-            settings.target is None
-            or settings.from_target is None
-            or settings.control is None
-        ):
+        if settings.target is None or settings.from_target is None:
             raise settings_module.SettingsError(
-                "app, listen.outbound and listen.control are needed"
+                "app and listen.outbound are needed"
             )
-        self.settings = settings
+        super().__init__(settings, tick_s=agents.TICK_S)
         self.target = settings.target
-        self.loop = reactor.Reactor()
-        self.log = lines.LineLog(settings.node)
         self.core = agents.Agent(
             node=settings.node,
             service=settings.service,
@@ -49,32 +38,36 @@
                 settings.cold_overshoot, settings.cold_slack
             ),
         )
-        self.clients = channels.DatagramSocket(
-            self.loop, settings.packets, lambda data, sender: None
-        )
         self.target_socket = channels.DatagramSocket(
             self.loop, settings.from_target, self.target_packet_received
         )
-        self.peers = channels.PeerChannel(
-            self.loop,
-            (settings.address, settings.peer_port),
-            self.message_received,
-            self.malformed,
+        self.serve_pages(
+            metrics_page.MetricsPage(
+                self.core.counts, self.gauges, self.core.describe
+            )
         )
-        http_server.HttpServer(self.loop, settings.control, self.answer)
-        http_server.HttpServer(self.loop, settings.readiness, self.answer)
         self.registration = registration.Registration(
             documents.AGENT_PREFIX + settings.address,
             documents.agent_entry(
                 settings.address, settings.service, settings.data_centre
             ),
         )
-        self.store = store.Store(
-            http_client.HttpClient(self.loop, settings.store)
-        )
+        self.store_client = http_client.HttpClient(self.loop, settings.store)
+        self.store = store.Store(self.store_client)
         self.store_busy = False
         for seed in settings.seeds:
             self.core.balancer_heard_at[seed] = self.loop.now
+        self.perform(self.core.announce(now=self.loop.now))
+        self.register()
+
+    def settings_changed(self, settings: settings_module.Settings) -> None:
+        """Puts changed settings in force."""
+        super().settings_changed(settings)
+        self.store_client.move(settings.store)
+        self.core.cold.overshoot = settings.cold_overshoot
+        self.core.cold.slack = settings.cold_slack
+        if settings.target is not None:
+            self.target = settings.target
 
     def register(self) -> None:
         """Makes the store call that is due, if there is one."""
@@ -89,18 +82,24 @@
             self.registration.take(
                 call, result, now=self.loop.now, draw=draws.draw()
             )
+            name = type(call).__name__
             if result == registration.Outcome.FAILED:
-                self.record("store_call_failed", call=type(call).__name__)
+                self.record("store_call_failed", call=name)
             elif failures or not isinstance(call, registration.KeepLease):
                 self.record(
                     "registration",
-                    call=type(call).__name__,
-                    result=str(result),
+                    call=name,
+                    lease=self.registration.lease,
+                    written=self.registration.written,
                 )
             self.register()
 
         self.store.write(call, done)
 
+    def packet_received(self, data: bytes, sender: str) -> None:
+        """Counts a datagram from a router; they send none to agents."""
+        self.malformed(sender)
+
     def target_packet_received(self, data: bytes, sender: str) -> None:
         """Takes a packet that the target sends or returns."""
         segment = packets.decode(data, from_target=True)
@@ -120,7 +119,7 @@
         now = self.loop.now
         match message:
             case messages.Forward(_, _, data):
-                segment = packets.decode(data, from_target=False)
+                segment = self.decoded(data, sender)
                 if segment is not None:
                     self.perform(
                         self.core.handle_forward(
@@ -134,12 +133,9 @@
                 if self.core.registration_missing:
                     self.registration.missing(now=now)
 
-    def malformed(self, sender: str) -> None:
-        """Counts a datagram that can't be used."""
-        self.core.counts["malformed"] = (
-            self.core.counts.get("malformed", 0) + 1
-        )
-        self.record("malformed_datagram", sender=sender)
+    def count(self, name: str) -> None:
+        """Adds one to a counter."""
+        self.core.count(name)
 
     def perform(self, actions: list[messages.Action]) -> None:
         """Carries out what the core decided."""
@@ -153,22 +149,7 @@
                     channels.probe(
                         self.loop, self.target, self.target_unreachable
                     )
-                case messages.Answer(flow_id, data):
-                    self.clients.send(
-                        data,
-                        (
-                            packets.client_address(flow_id),
-                            self.settings.packets[1],
-                        ),
-                    )
-                case messages.Send(address, message):
-                    self.peers.send(address, message)
-                case messages.Record(event, fields):
-                    self.record(event, **fields)
-
-    def record(self, event: str, **fields: object) -> None:
-        """Writes a log line."""
-        self.log.write(event, fields, now=self.loop.now)
+        super().perform(actions)
 
     def answer(
         self, method: str, target: str, body: bytes
@@ -193,6 +174,14 @@
         self.perform(self.core.handle_heartbeat(heartbeat, now=now))
         return 200, b"{}"
 
+    def gauges(self) -> dict[str, float]:
+        """Returns present values."""
+        return {
+            "flows": len(self.core.flow_by_id),
+            "balancers": len(self.core.balancer_heard_at),
+            "log_lines_left_out": self.log.dropped,
+        }
+
     def tick(self) -> None:
         """Does what is due."""
         self.perform(self.core.tick(now=self.loop.now))
@@ -213,27 +202,3 @@
         self.store_busy = True
         self.store.write(call, lambda _: self.end())
         self.loop.call_later(STOP_WAIT_S, self.end)
-
-    def end(self) -> None:
-        """Ends the process."""
-        if not self.loop.stopped:
-            self.record("stopped")
-            self.log.flush()
-            self.loop.stopped = True
-
-    def run(self) -> None:
-        """Runs until the process is told to stop."""
-        self.record(
-            "started",
-            service=self.settings.service,
-            startup_cpu_ms=round(1000 * time.thread_time()),
-        )
-        self.loop.on_signal(signal.SIGTERM, self.stop)
-        self.loop.on_signal(
-            signal.SIGHUP, lambda: self.record("reload_ignored")
-        )
-        self.perform(self.core.announce(now=self.loop.now))
-        self.register()
-        self.loop.call_every(agents.TICK_S, self.tick)
-        self.loop.call_every(LOG_INTERVAL_S, self.log.flush)
-        self.loop.run()
--- a/godwitturn/platform/settings.py
+++ b/godwitturn/platform/settings.py
@@ -15,7 +15,7 @@
     """The settings file is unusable; the message names each fault."""
 
 
-@attrs.define(frozen=True, slots=True)
+@attrs.define(frozen=True, repr=False)
 class Settings:
     """Settings of one process.
 
@@ -55,6 +55,9 @@
     grace_s: float
 
 
+NAMES = tuple(field.name for field in attrs.fields(Settings))
+
+
 def load() -> Settings:
     """Returns the settings of this process.
 
--- /dev/null
+++ b/godwitturn/tests/test_platform_programs.py
@@ -0,0 +1,333 @@
+"""Tests of both programs as processes, on addresses of the loopback range."""
+
+from collections.abc import Callable
+import http.client
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from typing import Any
+import unittest
+
+from godwitturn.daemons import metrics_page
+from godwitturn.platform import documents
+from godwitturn.platform import packets
+from godwitturn.standins import platform_store
+from godwitturn.standins import transparent_world
+
+LIMIT_S = 15.0
+PACKETS_PORT = 8172
+READY_PORT = 8167
+CONTROL_PORT = 8166
+OUTBOUND_PORT = 8162
+TARGET_PORT = 8165
+PEER_PORT = 7720
+SERVICE = "core"
+
+
+def wait_until(condition: Callable[[], bool]) -> bool:
+    """Waits for a condition, up to a limit."""
+    ends_at = time.monotonic() + LIMIT_S
+    while time.monotonic() < ends_at:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return condition()
+
+
+class UdpTarget:
+    """A target at a UDP address that echoes requests."""
+
+    def __init__(self, address: str) -> None:
+        self.model = transparent_world.ModelTarget("i-1", 17)
+        self._outbound = (address, OUTBOUND_PORT)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((address, TARGET_PORT))
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                data = self._socket.recv(2048)
+            except OSError:
+                return
+            for answer in self.model.receive(data, time.monotonic()):
+                self._socket.sendto(answer, self._outbound)
+
+    def close(self) -> None:
+        """Ends the target."""
+        self._socket.close()
+
+
+class ProgramCase(unittest.TestCase):
+    """A store, a balancer, an agent and a target."""
+
+    def setUp(self) -> None:
+        subnet = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}"
+        self.balancer = f"{subnet}.1"
+        self.agent = f"{subnet}.2"
+        self.client_address = f"{subnet}.3"
+        self.store = platform_store.PlatformStore((f"{subnet}.4", 0))
+        self.addCleanup(self.store.server_close)
+        self.addCleanup(self.store.shutdown)
+        self.directory = tempfile.TemporaryDirectory()
+        self.addCleanup(self.directory.cleanup)
+        self.target = UdpTarget(self.agent)
+        self.addCleanup(self.target.close)
+        self.client = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.client.bind((self.client_address, PACKETS_PORT))
+        self.client.settimeout(0.3)
+        self.addCleanup(self.client.close)
+        self.configure(1)
+        self.flow_id = (
+            int.from_bytes(socket.inet_aton(self.client_address), "big"),
+            4000,
+            transparent_world.ROUTE_ADDRESS,
+            transparent_world.ROUTE_PORT,
+        )
+
+    def configure(self, version: int, service: str = SERVICE) -> None:
+        """Writes a configuration to the store."""
+        document = {
+            "version": version,
+            "routes": [
+                {
+                    "name": "main",
+                    "host": "198.18.0.1",
+                    "prefix": "/443/",
+                    "service": service,
+                }
+            ],
+            "services": [{"name": service, "max_conns": 100}],
+            "limits": {"idle_timeout_ms": 15000},
+        }
+        self.store.put(
+            documents.CONFIGURATION_KEY, json.dumps(document).encode()
+        )
+
+    def start(self, role: str, address: str) -> subprocess.Popen[bytes]:
+        """Starts a program."""
+        host, port = self.store.server_address[:2]
+        fields: dict[str, Any] = {
+            "node_id": f"{role}-1",
+            "ip": address,
+            "zone": "a",
+            "listen": {
+                "datagram_addr": f"{address}:{PACKETS_PORT}",
+                "ready_addr": f"{address}:{READY_PORT}",
+                "control": f"{address}:{CONTROL_PORT}",
+            },
+            "internal_ports": [PEER_PORT, PEER_PORT + 15],
+            "platform": {"address": f"{host!s}:{port}"},
+            "bounds": {"grace_s": 1},
+        }
+        if role == "agent":
+            fields["listen"]["outbound"] = f"{address}:{OUTBOUND_PORT}"
+            fields["app"] = f"{address}:{TARGET_PORT}"
+            fields["service"] = SERVICE
+        path = pathlib.Path(self.directory.name) / f"{role}.json"
+        path.write_text(json.dumps(fields))
+        log = (path.parent / f"{role}.log").open("ab")
+        process = subprocess.Popen(
+            [sys.executable, "-m", "godwitturn.platform", role],
+            env={**os.environ, "GODWITTURN_CONFIG": str(path)},
+            stdout=log,
+        )
+        log.close()
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def start_both(self) -> tuple[subprocess.Popen[bytes], ...]:
+        """Starts both programs and waits until the balancer is ready."""
+        agent = self.start("agent", self.agent)
+        balancer = self.start("balancer", self.balancer)
+        self.assertTrue(wait_until(lambda: self.ready() == 200))
+        return balancer, agent
+
+    def events(self, role: str) -> list[dict[str, Any]]:
+        """Returns the log lines of a program."""
+        path = pathlib.Path(self.directory.name) / f"{role}.log"
+        return [json.loads(line) for line in path.read_text().splitlines()]
+
+    def get(self, address: str, port: int, path: str) -> tuple[int, str]:
+        """Asks a program over HTTP."""
+        connection = http.client.HTTPConnection(address, port, timeout=2.0)
+        try:
+            connection.request("GET", path)
+            answer = connection.getresponse()
+            return answer.status, answer.read().decode()
+        except OSError:
+            return 0, ""
+        finally:
+            connection.close()
+
+    def ready(self) -> int:
+        """Asks the balancer as a router does."""
+        return self.get(self.balancer, READY_PORT, "/ready")[0]
+
+    def beat(self, **changes: Any) -> int:
+        """Sends a heartbeat of the target."""
+        fields = {
+            "service": SERVICE,
+            "slots": 1,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 17,
+            **changes,
+        }
+        connection = http.client.HTTPConnection(
+            self.agent, CONTROL_PORT, timeout=2.0
+        )
+        connection.request("PUT", "/instances/i-1", json.dumps(fields))
+        status = connection.getresponse().status
+        connection.close()
+        return status
+
+    def exchange(self, flags: int, data: bytes = b"") -> Any:
+        """Sends a packet until one comes back, and returns that."""
+        packet = transparent_world.packet(self.flow_id, flags, data=data)
+        for _ in range(20):
+            self.client.sendto(packet, (self.balancer, PACKETS_PORT))
+            try:
+                answer = self.client.recv(2048)
+            except TimeoutError:
+                continue
+            return packets.decode(answer, from_target=True)
+        return None
+
+    def open_flow(self) -> None:
+        """Opens the flow and checks that it was accepted."""
+        segment = self.exchange(transparent_world.SYN)
+        self.assertIsNotNone(segment)
+        self.assertTrue(segment.accepting)
+
+
+class TestPath(ProgramCase):
+    """From a client to a target and back."""
+
+    def test_request_is_answered(self) -> None:
+        self.start_both()
+        self.assertEqual(200, self.beat())
+        self.open_flow()
+        segment = self.exchange(transparent_world.ACK, b"request")
+        self.assertTrue(segment.data.endswith(b"answer"))
+        self.assertEqual(1, len(self.target.model.flows))
+
+    def test_flow_survives_a_killed_balancer_and_agent(self) -> None:
+        processes = self.start_both()
+        self.beat()
+        self.open_flow()
+        for process in processes:
+            process.kill()
+            process.wait()
+        self.start_both()
+        segment = self.exchange(transparent_world.ACK, b"request")
+        self.assertTrue(segment.data.endswith(b"answer"))
+
+    def test_unknown_route_is_reset_at_once(self) -> None:
+        self.start_both()
+        self.beat()
+        self.flow_id = (*self.flow_id[:3], 9999)
+        segment = self.exchange(transparent_world.SYN)
+        self.assertTrue(segment.resetting)
+
+
+class TestStop(ProgramCase):
+    """SIGTERM."""
+
+    def test_balancer_forwards_until_it_ends(self) -> None:
+        balancer, _ = self.start_both()
+        self.beat()
+        self.open_flow()
+        balancer.send_signal(signal.SIGTERM)
+        self.assertTrue(wait_until(lambda: self.ready() == 503))
+        segment = self.exchange(transparent_world.ACK, b"request")
+        self.assertTrue(segment.data.endswith(b"answer"))
+        self.ready()
+        self.assertEqual(0, balancer.wait(LIMIT_S))
+        names = [event["event"] for event in self.events("balancer")]
+        self.assertEqual("stopped", names[-1])
+        self.assertIn("stopping", names)
+
+    def test_agent_of_an_ended_target_removes_its_entry(self) -> None:
+        _, agent = self.start_both()
+        self.beat()
+        key = documents.AGENT_PREFIX + self.agent
+        self.assertTrue(wait_until(lambda: key in self.store.item_by_key))
+        connection = http.client.HTTPConnection(self.agent, CONTROL_PORT)
+        connection.request("DELETE", "/instances/i-1")
+        self.assertEqual(200, connection.getresponse().status)
+        connection.close()
+        agent.send_signal(signal.SIGTERM)
+        self.assertEqual(0, agent.wait(LIMIT_S))
+        self.assertNotIn(key, self.store.item_by_key)
+
+
+class TestStoreAway(ProgramCase):
+    """The store refuses calls, and loses an entry."""
+
+    def test_traffic_goes_on_and_entries_come_back(self) -> None:
+        self.start_both()
+        self.beat()
+        self.store.refusing = True
+        key = documents.AGENT_PREFIX + self.agent
+        self.store.delete(key)
+        self.open_flow()
+        self.store.refusing = False
+        self.assertTrue(wait_until(lambda: key in self.store.item_by_key))
+        names = {event["event"] for event in self.events("balancer")}
+        self.assertIn("agent_unregistered", names)
+
+
+class TestPages(ProgramCase):
+    """Metrics, state and settings."""
+
+    def test_metrics_and_state(self) -> None:
+        self.start_both()
+        self.beat()
+        self.open_flow()
+        self.exchange(transparent_world.ACK, b"request")
+        status, text = self.get(self.agent, metrics_page.PORT, "/metrics")
+        self.assertEqual(200, status)
+        self.assertIn("answer_time", text)
+        self.assertIn('class="198.18.0.1:443"', text)
+        status, text = self.get(self.balancer, metrics_page.PORT, "/state")
+        state = json.loads(text)
+        self.assertEqual(1, state["version"])
+        self.assertEqual(1, state["targets"][self.agent]["flows_here"])
+
+    def test_changed_settings_are_read_again(self) -> None:
+        balancer, _ = self.start_both()
+        path = pathlib.Path(self.directory.name) / "balancer.json"
+        fields = json.loads(path.read_text())
+        fields["bounds"]["grace_s"] = 2
+        path.write_text(json.dumps(fields))
+        balancer.send_signal(signal.SIGHUP)
+
+        def changed() -> bool:
+            return any(
+                event["event"] == "settings_changed"
+                and event["names"] == "grace_s"
+                for event in self.events("balancer")
+            )
+
+        self.assertTrue(wait_until(changed))
+        path.write_text("{")
+        balancer.send_signal(signal.SIGHUP)
+        self.assertTrue(
+            wait_until(
+                lambda: any(
+                    event["event"] == "settings_refused"
+                    for event in self.events("balancer")
+                )
+            )
+        )
