--- a/godwitturn/logs/lines.py
+++ b/godwitturn/logs/lines.py
@@ -5,12 +5,16 @@
 import os
 from typing import Any
 
+from godwitturn.core.transparent import catalogue
+
 # Lines a second and in a burst; at 200 bytes this stays below 40 KB/s.
 LINES_PER_SECOND = 200.0
 BURST_LINES = 400.0
 # Lines that wait for a reader of standard output.
 MAX_WAITING = 2000
 FLUSH_LINES = 100
+# Number of an event that the catalogue lacks.
+UNLISTED = 600
 
 
 class LineLog:
@@ -45,7 +49,12 @@
             self.dropped += 1
             return
         self._tokens -= 1.0
-        line = {"at": round(now, 3), "node": self._node, "event": event}
+        line: dict[str, Any] = {
+            "at": round(now, 3),
+            "node": self._node,
+            "id": f"GW{catalogue.NUMBER_BY_EVENT.get(event, UNLISTED)}",
+            "event": event,
+        }
         if self.dropped > self._reported:
             line["dropped_before"] = self.dropped - self._reported
             self._reported = self.dropped
--- /dev/null
+++ b/godwitturn/tests/test_catalogue.py
@@ -0,0 +1,27 @@
+"""Tests that the catalogue, the code and the docs name the same events."""
+
+import pathlib
+import re
+import unittest
+
+from godwitturn.core.transparent import catalogue
+
+ROOT = pathlib.Path(__file__).parents[2]
+WRITTEN = re.compile(r'(?:Record|record)\(\s*"([a-z_]+)"')
+LISTED = re.compile(r"^\| GW(6\d\d) \| ([a-z_]+) \|", re.MULTILINE)
+
+
+class TestCatalogue(unittest.TestCase):
+    """Log events of transparent forwarding."""
+
+    def test_events_written_are_listed(self) -> None:
+        written: set[str] = set()
+        for folder in ("core/transparent", "platform"):
+            for path in (ROOT / "godwitturn" / folder).glob("*.py"):
+                written.update(WRITTEN.findall(path.read_text()))
+        self.assertEqual(set(catalogue.NUMBER_BY_EVENT), written)
+
+    def test_docs_list_the_same_numbers(self) -> None:
+        text = (ROOT / "docs" / "events.md").read_text()
+        listed = {name: int(number) for number, name in LISTED.findall(text)}
+        self.assertEqual(catalogue.NUMBER_BY_EVENT, listed)
--- a/godwitturn/tests/test_lines.py
+++ b/godwitturn/tests/test_lines.py
@@ -37,6 +37,7 @@
                 {
                     "at": 1.5,
                     "node": "edge-1",
+                    "id": "GW601",
                     "event": "started",
                     "service": "core",
                 }
