Pass the operators' documents on between daemons

A balancer whose store calls fail, or that starts while the store is away, asks another balancer or an agent that has a newer copy; agents keep one for that. Ruled out: comparing the store's counter, which grows with changes of other keys; copies are compared by their last change. Seeds are told of targets even while they are silent.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -12,6 +12,7 @@
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import relay as relays
 from godwitturn.core.transparent import segments
 
 TICK_S = 0.05
@@ -30,6 +31,9 @@
 # longer, so silence alone doesn't count as its end.
 TARGET_ANSWER_S = 0.3
 PROBE_INTERVAL_S = 1.0
+# Agents keep a copy of the operators' documents for balancers that restart
+# while the store is away; it may be some seconds old.
+COPY_INTERVAL_S = 5.0
 # Heartbeats are counted from 1; the first one tells that the target has
 # started after this agent.
 FIRST_SEQUENCE = 1
@@ -107,10 +111,13 @@
         data_centre: The data centre.
         run: Random number of this run.
         cold: Limit of openings while the target is cold.
+        seeds: Balancers named in the settings; they are told of the target
+            even while they are silent.
         heartbeat: The newest heartbeat of the target, None if none came.
         state: State of the target.
         evacuated: Whether the data centre is to get nothing new.
         revision: Store revision that `evacuated` comes from.
+        relay: Copy of the operators' documents, kept for balancers.
         flow_by_id: Flows of the target.
         balancer_heard_at: When each balancer was last heard.
         counts: Counters by name.
@@ -121,12 +128,16 @@
     data_centre: str
     run: int
     cold: cold_limit.ColdLimit
+    seeds: frozenset[str] = frozenset()
     heartbeat: heartbeats.Heartbeat | None = None
     heartbeat_at: float = 0.0
     state: messages.TargetState = messages.TargetState.UNKNOWN
     evacuated: bool = False
     revision: int = 0
     registration_missing: bool = False
+    relay: relays.Relay = attrs.field(
+        factory=lambda: relays.Relay(interval_s=COPY_INTERVAL_S)
+    )
     flow_by_id: dict[segments.FlowId, Flow] = attrs.field(factory=dict)
     balancer_heard_at: dict[str, float] = attrs.field(factory=dict)
     counts: dict[str, int] = attrs.field(factory=dict)
@@ -564,6 +575,7 @@
         self._meet(balancer, now=now)
         actions: list[messages.Action] = []
         self.registration_missing = not greeting.registered
+        self.relay.hear(balancer, greeting.revision, now=now)
         if greeting.revision >= self.revision and greeting.revision:
             self.revision = greeting.revision
             self.cold.per_second = greeting.cold_per_second
@@ -605,6 +617,7 @@
             work=sum(flow.waiting for flow in flows),
             cold_ms=self.cold_ms(now),
             balancers=tuple(self.balancer_heard_at),
+            revision=self.relay.revision,
         )
         return [
             messages.Send(balancer, announcement)
@@ -636,7 +649,10 @@
                 del self.flow_by_id[flow_id]
                 self._changed = True
         for balancer, heard_at in list(self.balancer_heard_at.items()):
-            if now - heard_at > BALANCER_FORGOTTEN_S:
+            if (
+                now - heard_at > BALANCER_FORGOTTEN_S
+                and balancer not in self.seeds
+            ):
                 del self.balancer_heard_at[balancer]
 
     def count(self, name: str) -> None:
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -10,6 +10,7 @@
 import attrs
 
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import relay as relays
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import segments
 from godwitturn.core.transparent import targets
@@ -35,6 +36,10 @@
 # Flows are forgotten some time after the last packet; agents still know them.
 FLOW_CACHE_S = 60.0
 FLOW_SWEEP_S = 5.0
+# Clients give an opening up after 1.4 s.
+FLOW_OPENING_S = 5.0
+# Packets of unknown flows beyond this are dropped; clients repeat them.
+MAX_SEARCHES = 4096
 # A balancer that starts serves without answers of all agents after this.
 START_GRACE_S = 0.5
 # Packets kept until an agent is known.
@@ -126,6 +131,7 @@
         address: IP number of this balancer.
         data_centre: Its data centre.
         started_at: When it started, in seconds of the clock passed as `now`.
+        seeds: Balancers named in the settings; never forgotten as peers.
         configuration: The operators' configuration, or None until known.
         revision: Store revision of the newest change that is in force here.
         closed_data_centres: Data centres that get nothing new.
@@ -134,12 +140,14 @@
         table: Targets.
         flow_by_id: Cache of flows.
         peer_by_address: Other balancers.
+        relay: Decides when to ask others for newer documents.
         counts: Counters by name.
     """
 
     address: str
     data_centre: str
     started_at: float
+    seeds: frozenset[str] = frozenset()
     configuration: routes.Configuration | None = None
     revision: int = 0
     closed_data_centres: frozenset[str] = frozenset()
@@ -149,6 +157,7 @@
     flow_by_id: dict[segments.FlowId, CachedFlow] = attrs.field(factory=dict)
     search_by_id: dict[segments.FlowId, Search] = attrs.field(factory=dict)
     peer_by_address: dict[str, Peer] = attrs.field(factory=dict)
+    relay: relays.Relay = attrs.field(factory=relays.Relay)
     counts: dict[str, int] = attrs.field(factory=dict)
     _services_by_endpoint: dict[routes.Endpoint, set[str]] = attrs.field(
         factory=dict
@@ -174,7 +183,7 @@
             revision: Its revision in the store.
         """
         known = self.configuration
-        self.revision = max(self.revision, revision)
+        self._hold(revision)
         if known is not None and known.version >= configuration.version:
             return []
         self.configuration = configuration
@@ -197,7 +206,7 @@
         self, names: frozenset[str], *, revision: int
     ) -> list[messages.Action]:
         """Sets the data centres whose targets get nothing new."""
-        self.revision = max(self.revision, revision)
+        self._hold(revision)
         if names == self.closed_data_centres:
             return []
         self.closed_data_centres = names
@@ -209,6 +218,10 @@
             )
         ]
 
+    def _hold(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        self.relay.hold(self.revision)
+
     def register(
         self, address: str, service: str, data_centre: str, *, now: float
     ) -> list[messages.Action]:
@@ -514,6 +527,9 @@
             if len(search.held) < MAX_HELD:
                 search.held.append(segment.data)
             return []
+        if len(self.search_by_id) >= MAX_SEARCHES and search is None:
+            self.count("searches_left_out")
+            return []
         agents = set(self.table.target_by_address) - excluded
         if not agents:
             if self._uncertain(now) and len(self._early) < MAX_EARLY:
@@ -565,6 +581,7 @@
             case messages.FlowHeld():
                 return self._held(sender, message.flow_id, now=now)
             case messages.PeerStatus():
+                self.relay.hear(sender, message.revision, now=now)
                 self.peer_by_address[sender] = Peer(
                     now, message.data_centre, message.ready
                 )
@@ -678,6 +695,7 @@
         *,
         now: float,
     ) -> list[messages.Action]:
+        self.relay.hear(sender, announcement.revision, now=now)
         for peer in announcement.balancers:
             self.meet(peer, now=now)
         target = self.table.target_by_address.get(sender)
@@ -806,7 +824,8 @@
             self.revision, agents, self.data_centre, self.ready(now=now)
         )
         for address, peer in list(self.peer_by_address.items()):
-            if now - peer.heard_at > PEER_FORGOTTEN_S:
+            silent_s = now - peer.heard_at
+            if silent_s > PEER_FORGOTTEN_S and address not in self.seeds:
                 del self.peer_by_address[address]
         return [
             messages.Send(address, status) for address in self.peer_by_address
@@ -815,7 +834,8 @@
     def _sweep(self, now: float) -> None:
         """Forgets flows and searches that are no longer used."""
         for flow_id, flow in list(self.flow_by_id.items()):
-            if now - flow.used_at > FLOW_CACHE_S:
+            limit_s = FLOW_CACHE_S if flow.accepted else FLOW_OPENING_S
+            if now - flow.used_at > limit_s:
                 del self.flow_by_id[flow_id]
         for flow_id, search in list(self.search_by_id.items()):
             if now - search.started_at > FLOW_SWEEP_S:
--- a/godwitturn/core/transparent/catalogue.py
+++ b/godwitturn/core/transparent/catalogue.py
@@ -15,6 +15,8 @@
     "store_call_failed": 615,
     "store_regained": 616,
     "registration": 617,
+    "documents_received": 618,
+    "documents_not_received": 619,
     "agent_registered": 621,
     "agent_unregistered": 622,
     "agent_forgotten": 623,
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -96,6 +96,7 @@
         work: Flows with a request that has no answer yet.
         cold_ms: Milliseconds for which the target stays cold.
         balancers: Addresses of the balancers that the agent knows.
+        revision: Store revision of its copy of the operators' documents.
     """
 
     node: str
@@ -110,6 +111,7 @@
     work: int
     cold_ms: int
     balancers: tuple[str, ...]
+    revision: int
 
 
 @attrs.define(frozen=True, repr=False)
--- a/godwitturn/core/transparent/mirror.py
+++ b/godwitturn/core/transparent/mirror.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from godwitturn.core.transparent import relay
+
 RETRY_FIRST_S = 0.1
 RETRY_LAST_S = 1.0
 
@@ -97,6 +99,8 @@
         wait_s: Seconds that a watch waits.
         item_by_key: The keys, as of `revision`.
         revision: Store revision of the copy, 0 before the first one.
+        changed_at: Revision of the last change in the copy. The store counts
+            changes of all keys, so `revision` grows also without any here.
         synced: Whether a whole copy has been read since the start.
         failures: Calls that failed since the last success.
     """
@@ -105,6 +109,7 @@
     wait_s: float
     item_by_key: dict[str, Item] = attrs.field(factory=dict)
     revision: int = 0
+    changed_at: int = 0
     synced: bool = False
     failures: int = 0
     _reading: bool = True
@@ -158,6 +163,47 @@
                 self.read_again()
         return []
 
+    def adopt(self, copy: relay.Documents) -> list[Item]:
+        """Takes a newer copy that another daemon has read.
+
+        The next answer of the store goes on from there.
+
+        Returns:
+            The changes; deleted keys have the value None.
+        """
+        if copy.revision <= self.revision:
+            return []
+        items = {
+            key: Item(key, value, copy.revision)
+            for key, value in copy.value_by_key.items()
+        }
+        changes = [
+            item
+            for key, item in items.items()
+            if key not in self.item_by_key
+            or self.item_by_key[key].value != item.value
+        ]
+        changes += [
+            Item(key, None, copy.revision)
+            for key in self.item_by_key
+            if key not in items
+        ]
+        self.item_by_key = items
+        self.revision = copy.revision
+        self.changed_at = copy.revision
+        return changes
+
+    def documents(self) -> relay.Documents:
+        """Returns the copy, to be passed on."""
+        return relay.Documents(
+            self.changed_at,
+            {
+                key: item.value
+                for key, item in self.item_by_key.items()
+                if item.value is not None
+            },
+        )
+
     def _take_page(self, page: Page) -> list[Item]:
         if not self._read_revision:
             # Pages aren't one snapshot; the watch repeats what changed since
@@ -190,6 +236,7 @@
         self.item_by_key = read
         self.revision = revision
         self.synced = True
+        self._note(changes)
         return changes
 
     def _take_changes(self, changes: Changes) -> list[Item]:
@@ -206,4 +253,9 @@
                 self.item_by_key[item.key] = item
             taken.append(item)
         self.revision = max(self.revision, changes.revision)
+        self._note(taken)
         return taken
+
+    def _note(self, changes: list[Item]) -> None:
+        revisions = [change.revision for change in changes]
+        self.changed_at = max([self.changed_at, *revisions])
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -4,6 +4,7 @@
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import registration
+from godwitturn.core.transparent import relay
 from godwitturn.daemons import draws
 from godwitturn.daemons import http_client
 from godwitturn.daemons import metrics_page
@@ -37,6 +38,7 @@
             cold=cold_limit.ColdLimit(
                 settings.cold_overshoot, settings.cold_slack
             ),
+            seeds=frozenset(settings.seeds),
         )
         self.target_socket = channels.DatagramSocket(
             self.loop, settings.from_target, self.target_packet_received
@@ -46,6 +48,7 @@
                 self.core.counts, self.gauges, self.core.describe
             )
         )
+        self.copy = relay.Documents(0, {})
         self.registration = registration.Registration(
             documents.AGENT_PREFIX + settings.address,
             documents.agent_entry(
@@ -69,6 +72,16 @@
         if settings.target is not None:
             self.target = settings.target
 
+    def documents(self) -> relay.Documents:
+        """Returns this daemon's copy of the operators' documents."""
+        return self.copy
+
+    def adopt(self, copy: relay.Documents) -> None:
+        """Takes another daemon's copy of the operators' documents."""
+        if copy.revision > self.copy.revision:
+            self.copy = copy
+            self.core.relay.hold(copy.revision)
+
     def register(self) -> None:
         """Makes the store call that is due, if there is one."""
         call = self.registration.next_call(now=self.loop.now)
@@ -185,6 +198,7 @@
     def tick(self) -> None:
         """Does what is due."""
         self.perform(self.core.tick(now=self.loop.now))
+        self.ask_for_documents(self.core.relay)
         self.register()
 
     def stop(self) -> None:
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -3,6 +3,7 @@
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import mirror
+from godwitturn.core.transparent import relay
 from godwitturn.daemons import draws
 from godwitturn.daemons import http_client
 from godwitturn.daemons import metrics_page
@@ -26,10 +27,13 @@
             address=settings.address,
             data_centre=settings.data_centre,
             started_at=self.loop.now,
+            seeds=frozenset(settings.seeds),
         )
         self.was_ready = False
         self.store_clients: list[http_client.HttpClient] = []
-        self._mirror(documents.OPERATOR_PREFIX, OPERATOR_WATCH_S)
+        self.operator_copy = self._mirror(
+            documents.OPERATOR_PREFIX, OPERATOR_WATCH_S
+        )
         self._mirror(documents.AGENT_PREFIX, AGENT_WATCH_S)
         self.serve_pages(
             metrics_page.MetricsPage(
@@ -39,7 +43,7 @@
         for seed in settings.seeds:
             self.core.meet(seed, now=self.loop.now)
 
-    def _mirror(self, prefix: str, wait_s: float) -> None:
+    def _mirror(self, prefix: str, wait_s: float) -> mirror.Mirror:
         """Keeps a copy of a prefix of the store."""
         copy = mirror.Mirror(prefix, wait_s)
         client = http_client.HttpClient(self.loop, self.settings.store)
@@ -67,6 +71,16 @@
             self.loop.call_later(copy.retry_delay_s(draws.draw()), call)
 
         call()
+        return copy
+
+    def documents(self) -> relay.Documents:
+        """Returns this daemon's copy of the operators' documents."""
+        return self.operator_copy.documents()
+
+    def adopt(self, copy: relay.Documents) -> None:
+        """Takes another daemon's copy of the operators' documents."""
+        changes = self.operator_copy.adopt(copy)
+        self.store_changed(self.operator_copy, changes)
 
     def settings_changed(self, settings: settings_module.Settings) -> None:
         """Puts changed settings in force."""
@@ -88,7 +102,7 @@
         for item in changes:
             if item.key == documents.CONFIGURATION_KEY and item.value:
                 self._configuration_changed(item)
-        if copy.synced:
+        if copy.revision:
             closed = frozenset(
                 name
                 for name in map(
@@ -97,7 +111,7 @@
                 if name is not None
             )
             self.perform(
-                self.core.close_data_centres(closed, revision=copy.revision)
+                self.core.close_data_centres(closed, revision=copy.changed_at)
             )
 
     def _configuration_changed(self, item: mirror.Item) -> None:
@@ -193,6 +207,7 @@
         """Does what is due."""
         now = self.loop.now
         self.perform(self.core.tick(now=now))
+        self.ask_for_documents(self.core.relay)
         if self.core.may_end(now=now):
             self.end()
 
--- a/godwitturn/platform/documents.py
+++ b/godwitturn/platform/documents.py
@@ -1,10 +1,12 @@
 """What operators and targets write, decoded into the product's types."""
 
+import base64
 import json
 import socket
 from typing import Any
 
 from godwitturn.core.transparent import heartbeats
+from godwitturn.core.transparent import relay
 from godwitturn.core.transparent import routes
 
 CONFIGURATION_KEY = "op/config"
@@ -113,6 +115,34 @@
     return value
 
 
+def encode_copy(copy: relay.Documents) -> bytes:
+    """Returns a copy of the operators' documents as daemons pass it on."""
+    values = {
+        key: base64.b64encode(value).decode()
+        for key, value in copy.value_by_key.items()
+    }
+    return json.dumps([copy.revision, values]).encode()
+
+
+def decode_copy(data: bytes) -> relay.Documents:
+    """Returns the copy in the answer of another daemon.
+
+    Raises:
+        MalformedError: If it can't be read.
+    """
+    try:
+        revision, values = json.loads(data)
+        return relay.Documents(
+            int(revision),
+            {
+                str(key): base64.b64decode(value)
+                for key, value in values.items()
+            },
+        )
+    except (ValueError, TypeError, AttributeError) as exc:
+        raise MalformedError(f"copy of documents: {exc!r}") from exc
+
+
 def agent_entry(address: str, service: str, data_centre: str) -> bytes:
     """Returns an agent's entry in the store."""
     return json.dumps([address, service, data_centre]).encode()
--- a/godwitturn/platform/program.py
+++ b/godwitturn/platform/program.py
@@ -3,18 +3,24 @@
 import signal
 
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import relay
 from godwitturn.core.transparent import segments
+from godwitturn.daemons import http_client
 from godwitturn.daemons import http_server
 from godwitturn.daemons import metrics_page
 from godwitturn.daemons import reactor
 from godwitturn.logs import lines
 from godwitturn.platform import channels
+from godwitturn.platform import documents
 from godwitturn.platform import packets
 from godwitturn.platform import settings as settings_module
 
 LOG_INTERVAL_S = 0.2
 # The settings file may change without a signal.
 SETTINGS_INTERVAL_S = 2.0
+DOCUMENTS_PATH = "/documents"
+# Between data centres an answer takes milliseconds.
+RELAY_TIMEOUT_S = 0.5
 
 
 class Program:
@@ -53,7 +59,9 @@
         if settings.control is not None:
             http_server.HttpServer(self.loop, settings.control, self.answer)
         http_server.HttpServer(
-            self.loop, (settings.address, metrics_page.PORT), page.answer
+            self.loop,
+            (settings.address, metrics_page.PORT),
+            self.answer_page,
         )
 
     # Filled in by roles.
@@ -88,8 +96,50 @@
         """Puts changed settings in force."""
         self.settings = settings
 
+    def documents(self) -> relay.Documents:
+        """Returns this daemon's copy of the operators' documents."""
+        raise NotImplementedError
+
+    def adopt(self, copy: relay.Documents) -> None:
+        """Takes another daemon's copy of the operators' documents."""
+        raise NotImplementedError
+
     # Shared.
 
+    def ask_for_documents(self, relaying: relay.Relay) -> None:
+        """Asks another daemon for its documents, if that is due."""
+        holder = relaying.next_question(now=self.loop.now)
+        if holder is None:
+            return
+        client = http_client.HttpClient(self.loop, (holder, metrics_page.PORT))
+
+        def done(status: int | None, body: bytes) -> None:
+            client.close()
+            if status != 200:
+                self.record(
+                    "documents_not_received", holder=holder, status=status
+                )
+                return
+            try:
+                copy = documents.decode_copy(body)
+            except documents.MalformedError as exc:
+                self.record("malformed_document", key=holder, error=str(exc))
+                return
+            self.record(
+                "documents_received", holder=holder, revision=copy.revision
+            )
+            self.adopt(copy)
+
+        client.call("GET", DOCUMENTS_PATH, b"", RELAY_TIMEOUT_S, done)
+
+    def answer_page(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        """Answers other daemons, and questions about metrics and state."""
+        if method == "GET" and target == DOCUMENTS_PATH:
+            return 200, documents.encode_copy(self.documents())
+        return self.page.answer(method, target, body)
+
     def malformed(self, sender: str) -> None:
         """Counts a datagram that can't be used."""
         self.count("malformed")
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -51,6 +51,7 @@
                 message.work,
                 message.cold_ms,
                 message.balancers,
+                message.revision,
             ]
             return _pack(_ANNOUNCEMENT, fields)
         case messages.Greeting():
@@ -131,6 +132,7 @@
     work: Any,
     cold_ms: Any,
     balancers: Any,
+    revision: Any,
 ) -> messages.Announcement:
     return messages.Announcement(
         node=str(node),
@@ -145,6 +147,7 @@
         work=int(work),
         cold_ms=int(cold_ms),
         balancers=_texts(balancers),
+        revision=int(revision),
     )
 
 
--- a/godwitturn/tests/test_platform_programs.py
+++ b/godwitturn/tests/test_platform_programs.py
@@ -112,7 +112,9 @@
             documents.CONFIGURATION_KEY, json.dumps(document).encode()
         )
 
-    def start(self, role: str, address: str) -> subprocess.Popen[bytes]:
+    def start(
+        self, role: str, address: str, *, seeds: tuple[str, ...] = ()
+    ) -> subprocess.Popen[bytes]:
         """Starts a program."""
         host, port = self.store.server_address[:2]
         fields: dict[str, Any] = {
@@ -124,6 +126,7 @@
                 "ready_addr": f"{address}:{READY_PORT}",
                 "control": f"{address}:{CONTROL_PORT}",
             },
+            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
             "internal_ports": [PEER_PORT, PEER_PORT + 15],
             "platform": {"address": f"{host!s}:{port}"},
             "bounds": {"grace_s": 1},
@@ -287,6 +290,24 @@
         names = {event["event"] for event in self.events("balancer")}
         self.assertIn("agent_unregistered", names)
 
+    def test_balancer_starts_from_the_agents_copy(self) -> None:
+        balancer, _ = self.start_both()
+        self.beat()
+        self.assertTrue(
+            wait_until(
+                lambda: any(
+                    event["event"] == "documents_received"
+                    for event in self.events("agent")
+                )
+            )
+        )
+        self.store.refusing = True
+        balancer.kill()
+        balancer.wait()
+        self.start("balancer", self.balancer, seeds=(self.balancer,))
+        self.assertTrue(wait_until(lambda: self.ready() == 200))
+        self.open_flow()
+
 
 class TestPages(ProgramCase):
     """Metrics, state and settings."""
--- a/godwitturn/tests/test_transparent_messages.py
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -27,6 +27,7 @@
         work=2,
         cold_ms=0,
         balancers=("10.0.0.1", "10.0.0.2"),
+        revision=7,
     ),
     messages.Greeting(12, True, 1.5, False),
     messages.PeerStatus(12, ("10.1.0.1",), "a", True),
