Tell the balancers of a data centre of each flow; pace control by the fleet

Change: intervals grow with the number of agents, lists are sent rarely and to new peers, agents tell the other balancers of a flow's data centre when it opens, and a starting balancer is told the flows of its data centre.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -12,13 +12,15 @@
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import pacing
 from godwitturn.core.transparent import relay as relays
 from godwitturn.core.transparent import segments
 
 TICK_S = 0.05
-ANNOUNCE_INTERVAL_S = 0.25
-# Bounds announcements while flows open and end quickly.
-ANNOUNCE_GAP_S = 0.04
+# Announcements that leave out the list of balancers, after one with it.
+ANNOUNCEMENTS_WITHOUT_BALANCERS = 8
+# Flows told in one datagram; 12 bytes each.
+FLOWS_PER_MESSAGE = 90
 BALANCER_FORGOTTEN_S = 5.0
 FLOW_IDLE_S = 60.0
 # Late copies of a closing flow's packets still find it.
@@ -39,6 +41,19 @@
 FIRST_SEQUENCE = 1
 
 
+@attrs.define(eq=False, repr=False)
+class KnownBalancer:
+    """A balancer that this agent knows.
+
+    Attributes:
+        heard_at: When it was last heard.
+        data_centre: Its data centre, empty until it says so.
+    """
+
+    heard_at: float
+    data_centre: str = ""
+
+
 @attrs.define(eq=False, repr=False)
 class Flow:
     """A flow at the target.
@@ -48,6 +63,7 @@
         accepted: Whether the target has accepted the opening.
         waiting: Whether a request has no answer yet.
         asked_at: When the first packet of that request came.
+        told: Whether other balancers were told of the flow.
         client_ended: Whether the client has sent everything.
         target_ended: Whether the target has sent everything.
         used_at: When its last packet passed.
@@ -58,6 +74,7 @@
     accepted: bool = False
     waiting: bool = False
     asked_at: float = 0.0
+    told: bool = False
     client_ended: bool = False
     target_ended: bool = False
 
@@ -119,7 +136,8 @@
         revision: Store revision that `evacuated` comes from.
         relay: Copy of the operators' documents, kept for balancers.
         flow_by_id: Flows of the target.
-        balancer_heard_at: When each balancer was last heard.
+        balancer_by_address: Balancers.
+        agents: Agents that announce to the same balancers.
         counts: Counters by name.
     """
 
@@ -139,7 +157,8 @@
         factory=lambda: relays.Relay(interval_s=COPY_INTERVAL_S)
     )
     flow_by_id: dict[segments.FlowId, Flow] = attrs.field(factory=dict)
-    balancer_heard_at: dict[str, float] = attrs.field(factory=dict)
+    balancer_by_address: dict[str, KnownBalancer] = attrs.field(factory=dict)
+    agents: int = 1
     counts: dict[str, int] = attrs.field(factory=dict)
     _witnessed: bool = False
     _deliveries: collections.OrderedDict[int, Delivery] = attrs.field(
@@ -313,7 +332,10 @@
             "revision": self.revision,
             "flows": len(self.flow_by_id),
             "waiting": len(self._waiting),
-            "balancers": dict(self.balancer_heard_at),
+            "balancers": {
+                address: balancer.heard_at
+                for address, balancer in self.balancer_by_address.items()
+            },
         }
 
     # Packets from balancers.
@@ -327,7 +349,7 @@
         now: float,
     ) -> list[messages.Action]:
         """Gives a client's packet to the target, or hands it back."""
-        self._meet(balancer, now=now)
+        self.meet(balancer, now=now)
         flow = self.flow_by_id.get(segment.flow_id)
         if flow is not None:
             flow.balancer = balancer
@@ -528,6 +550,9 @@
                         flow.balancer, messages.FlowHeld(segment.flow_id)
                     )
                 )
+        if segment.accepting and not flow.told:
+            flow.told = True
+            actions += self._tell_neighbours(segment.flow_id, flow)
         if segment.ending and not flow.target_ended:
             flow.target_ended = True
             self._changed = True
@@ -572,10 +597,14 @@
         self, balancer: str, greeting: messages.Greeting, *, now: float
     ) -> list[messages.Action]:
         """Takes what a balancer says of this agent's data centre."""
-        self._meet(balancer, now=now)
+        self.meet(balancer, now=now)
         actions: list[messages.Action] = []
         self.registration_missing = not greeting.registered
         self.relay.hear(balancer, greeting.revision, now=now)
+        self.agents = max(1, greeting.agents)
+        self.balancer_by_address[balancer].data_centre = greeting.data_centre
+        if greeting.wants_flows:
+            actions += self._list_flows(balancer)
         if greeting.revision >= self.revision and greeting.revision:
             self.revision = greeting.revision
             self.cold.per_second = greeting.cold_per_second
@@ -593,16 +622,60 @@
                 )
         return actions
 
-    def _meet(self, balancer: str, *, now: float) -> None:
-        if balancer not in self.balancer_heard_at:
+    def _list_flows(self, balancer: str) -> list[messages.Action]:
+        """Tells a balancer the flows whose packets may come through it."""
+        data_centre = self.balancer_by_address[balancer].data_centre
+        flow_ids = [
+            flow_id
+            for flow_id, flow in self.flow_by_id.items()
+            if flow.accepted and self._data_centre_of(flow) == data_centre
+        ]
+        return [
+            messages.Send(
+                balancer,
+                messages.FlowsListed(
+                    tuple(flow_ids[start : start + FLOWS_PER_MESSAGE])
+                ),
+            )
+            for start in range(0, len(flow_ids), FLOWS_PER_MESSAGE)
+        ]
+
+    def _data_centre_of(self, flow: Flow) -> str:
+        """Returns the data centre through which a flow's packets come."""
+        balancer = self.balancer_by_address.get(flow.balancer)
+        return balancer.data_centre if balancer else ""
+
+    def _tell_neighbours(
+        self, flow_id: segments.FlowId, flow: Flow
+    ) -> list[messages.Action]:
+        """Tells the other balancers of a data centre of a new flow.
+
+        Routers may hand the flow's next packet to any of them.
+        """
+        data_centre = self._data_centre_of(flow)
+        return [
+            messages.Send(address, messages.FlowsListed((flow_id,)))
+            for address, balancer in self.balancer_by_address.items()
+            if balancer.data_centre == data_centre and address != flow.balancer
+        ]
+
+    def meet(self, balancer: str, *, now: float) -> None:
+        """Notes a balancer, or a sign of life of one."""
+        known = self.balancer_by_address.get(balancer)
+        if known is None:
+            self.balancer_by_address[balancer] = KnownBalancer(now)
             self._announced_at = float("-inf")
-        self.balancer_heard_at[balancer] = now
+        else:
+            known.heard_at = now
 
     def announce(self, *, now: float) -> list[messages.Action]:
         """Returns announcements to all balancers."""
         self._announced_at = now
         self._changed = False
         self._sequence += 1
+        balancers: tuple[str, ...] = ()
+        if self._sequence % (ANNOUNCEMENTS_WITHOUT_BALANCERS + 1) == 1:
+            balancers = tuple(self.balancer_by_address)
         flows = [flow for flow in self.flow_by_id.values() if not flow.closing]
         announcement = messages.Announcement(
             node=self.node,
@@ -616,12 +689,12 @@
             flows=len(flows) + len(self._waiting),
             work=sum(flow.waiting for flow in flows),
             cold_ms=self.cold_ms(now),
-            balancers=tuple(self.balancer_heard_at),
+            balancers=balancers,
             revision=self.relay.revision,
         )
         return [
             messages.Send(balancer, announcement)
-            for balancer in self.balancer_heard_at
+            for balancer in self.balancer_by_address
         ]
 
     def tick(self, *, now: float) -> list[messages.Action]:
@@ -632,7 +705,10 @@
         actions = self._probe(now)
         if self._waiting:
             actions += self._admit_waiting(now)
-        gap_s = ANNOUNCE_GAP_S if self._changed else ANNOUNCE_INTERVAL_S
+        if self._changed:
+            gap_s = pacing.announcement_gap_s(self.agents)
+        else:
+            gap_s = pacing.announcement_interval_s(self.agents)
         if now - self._announced_at >= gap_s:
             actions += self.announce(now=now)
         return actions
@@ -648,12 +724,12 @@
             if now - flow.used_at > limit_s:
                 del self.flow_by_id[flow_id]
                 self._changed = True
-        for balancer, heard_at in list(self.balancer_heard_at.items()):
+        for address, balancer in list(self.balancer_by_address.items()):
             if (
-                now - heard_at > BALANCER_FORGOTTEN_S
-                and balancer not in self.seeds
+                now - balancer.heard_at > BALANCER_FORGOTTEN_S
+                and address not in self.seeds
             ):
-                del self.balancer_heard_at[balancer]
+                del self.balancer_by_address[address]
 
     def count(self, name: str) -> None:
         """Adds one to a counter."""
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -10,6 +10,7 @@
 import attrs
 
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import pacing
 from godwitturn.core.transparent import relay as relays
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import segments
@@ -18,11 +19,11 @@
 TICK_S = 0.1
 # A tick later than this is a pause of the process, not of the agents.
 PAUSE_S = 0.5
-# Agents forget a balancer after several missed greetings.
-GREETING_INTERVAL_S = 0.5
 # Until an agent answers, it may just be starting.
 FIRST_GREETING_INTERVAL_S = 0.1
 PEER_INTERVAL_S = 0.5
+# All agents are named to other balancers at this interval.
+AGENT_LIST_INTERVAL_S = 5.0
 PEER_FORGOTTEN_S = 5.0
 AGENT_FORGOTTEN_S = 10.0
 # Clients repeat an opening after 200 ms; one that is unanswered by then is
@@ -101,11 +102,13 @@
         heard_at: When it was last heard, or heard of.
         data_centre: Its data centre, empty until it says so.
         ready: Whether it takes new packets from routers.
+        listed_at: When all agents were last named to it.
     """
 
     heard_at: float
     data_centre: str = ""
     ready: bool = False
+    listed_at: float = float("-inf")
 
 
 @attrs.define(eq=False, repr=False)
@@ -580,11 +583,15 @@
                 return self._announced(sender, message, now=now)
             case messages.FlowHeld():
                 return self._held(sender, message.flow_id, now=now)
+            case messages.FlowsListed():
+                return self._listed(sender, message.flow_ids, now=now)
             case messages.PeerStatus():
                 self.relay.hear(sender, message.revision, now=now)
-                self.peer_by_address[sender] = Peer(
-                    now, message.data_centre, message.ready
-                )
+                self.meet(sender, now=now)
+                peer = self.peer_by_address[sender]
+                peer.heard_at = now
+                peer.data_centre = message.data_centre
+                peer.ready = message.ready
                 for agent in message.agents:
                     self.table.add(agent, now=now)
                 return []
@@ -638,6 +645,30 @@
             ]
         return actions
 
+    def _listed(
+        self,
+        agent: str,
+        flow_ids: tuple[segments.FlowId, ...],
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        """Notes flows that an agent tells of without being asked."""
+        self.table.hear(agent, now=now)
+        actions: list[messages.Action] = []
+        for flow_id in flow_ids:
+            known = self.flow_by_id.get(flow_id)
+            if flow_id in self.search_by_id:
+                actions += self._held(agent, flow_id, now=now)
+            elif known is None or not known.established:
+                self.flow_by_id[flow_id] = CachedFlow(
+                    agent=agent,
+                    accepted=True,
+                    tried={agent},
+                    sent_at=now,
+                    used_at=now,
+                )
+        return actions
+
     def handle_refusal(
         self,
         sender: str,
@@ -797,14 +828,18 @@
                 ),
                 cold_per_second=service.cold_per_second if service else 0.0,
                 registered=target is not None and target.registered,
+                data_centre=self.data_centre,
+                agents=len(self.table.target_by_address),
+                wants_flows=target is None or target.heard_at is None,
             ),
         )
 
     def _greetings(self, now: float) -> list[messages.Action]:
         actions: list[messages.Action] = []
+        usual_s = pacing.greeting_interval_s(len(self.table.target_by_address))
         for address, target in self.table.target_by_address.items():
             interval_s = (
-                GREETING_INTERVAL_S
+                usual_s
                 if target.announcement is not None
                 and target.silent_s(now) < targets.LOST_S
                 else FIRST_GREETING_INTERVAL_S
@@ -815,21 +850,35 @@
         return actions
 
     def _peer_statuses(self, now: float) -> list[messages.Action]:
-        agents = tuple(
-            target.address
+        heard = [
+            target
             for target in self.table.target_by_address.values()
             if target.silent_s(now) < targets.LOST_S
+        ]
+        all_agents = tuple(target.address for target in heard)
+        new_agents = tuple(
+            target.address
+            for target in heard
+            if now - target.added_at < 2 * PEER_INTERVAL_S
         )
-        status = messages.PeerStatus(
-            self.revision, agents, self.data_centre, self.ready(now=now)
-        )
+        ready = self.ready(now=now)
+        actions: list[messages.Action] = []
         for address, peer in list(self.peer_by_address.items()):
             silent_s = now - peer.heard_at
             if silent_s > PEER_FORGOTTEN_S and address not in self.seeds:
                 del self.peer_by_address[address]
-        return [
-            messages.Send(address, status) for address in self.peer_by_address
-        ]
+                continue
+            listing = now - peer.listed_at >= AGENT_LIST_INTERVAL_S
+            if listing:
+                peer.listed_at = now
+            status = messages.PeerStatus(
+                self.revision,
+                all_agents if listing else new_agents,
+                self.data_centre,
+                ready,
+            )
+            actions.append(messages.Send(address, status))
+        return actions
 
     def _sweep(self, now: float) -> None:
         """Forgets flows and searches that are no longer used."""
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -78,6 +78,17 @@
     flow_id: segments.FlowId
 
 
+@attrs.define(frozen=True, repr=False)
+class FlowsListed:
+    """Flows that the target beside the sender holds, told without a question.
+
+    Attributes:
+        flow_ids: The flows.
+    """
+
+    flow_ids: tuple[segments.FlowId, ...]
+
+
 @attrs.define(frozen=True, repr=False)
 class Announcement:
     """What an agent says of its target and itself.
@@ -95,7 +106,8 @@
         flows: Flows open at the target.
         work: Flows with a request that has no answer yet.
         cold_ms: Milliseconds for which the target stays cold.
-        balancers: Addresses of the balancers that the agent knows.
+        balancers: Addresses of the balancers that the agent knows; empty in
+            most announcements.
         revision: Store revision of its copy of the operators' documents.
     """
 
@@ -124,12 +136,18 @@
         evacuated: Whether the agent's data centre is to get nothing new.
         cold_per_second: Requests a second that a cold target bears.
         registered: Whether the agent's entry is in the store.
+        data_centre: Data centre of the balancer.
+        agents: Agents that the balancer knows.
+        wants_flows: Whether the balancer has yet to learn the target's flows.
     """
 
     revision: int
     evacuated: bool
     cold_per_second: float
     registered: bool
+    data_centre: str
+    agents: int
+    wants_flows: bool
 
 
 @attrs.define(frozen=True, repr=False)
@@ -138,7 +156,8 @@
 
     Attributes:
         revision: Store revision of its configuration, 0 if it has none.
-        agents: Addresses of the agents that it has heard of lately.
+        agents: Addresses of agents that it has heard of lately; most messages
+            name only those that are new to it.
         data_centre: Its data centre.
         ready: Whether it takes new packets from routers.
     """
@@ -154,6 +173,7 @@
     | Refused
     | FlowMissing
     | FlowHeld
+    | FlowsListed
     | Announcement
     | Greeting
     | PeerStatus
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -59,7 +59,7 @@
         self.store = store.Store(self.store_client)
         self.store_busy = False
         for seed in settings.seeds:
-            self.core.balancer_heard_at[seed] = self.loop.now
+            self.core.meet(seed, now=self.loop.now)
         self.perform(self.core.announce(now=self.loop.now))
         self.register()
 
@@ -191,7 +191,7 @@
         """Returns present values."""
         return {
             "flows": len(self.core.flow_by_id),
-            "balancers": len(self.core.balancer_heard_at),
+            "balancers": len(self.core.balancer_by_address),
             "log_lines_left_out": self.log.dropped,
         }
 
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -17,11 +17,13 @@
 _ANNOUNCEMENT = 5
 _GREETING = 6
 _PEER_STATUS = 7
+_LISTED = 8
 
 # Kind, search flag, length of the service's name.
 _FORWARD_HEADER = struct.Struct("!BBB")
 _REFUSED_HEADER = struct.Struct("!BB")
 _HELD_BODY = struct.Struct("!BIHIH")
+_FLOW_ID = struct.Struct("!IHIH")
 
 
 def encode(message: messages.Message) -> bytes:
@@ -37,6 +39,9 @@
             return bytes((_MISSING,)) + data
         case messages.FlowHeld(flow_id):
             return _HELD_BODY.pack(_HELD, *flow_id)
+        case messages.FlowsListed(flow_ids):
+            packed = [_FLOW_ID.pack(*flow_id) for flow_id in flow_ids]
+            return bytes((_LISTED,)) + b"".join(packed)
         case messages.Announcement():
             fields: list[Any] = [
                 message.node,
@@ -60,6 +65,9 @@
                 message.evacuated,
                 message.cold_per_second,
                 message.registered,
+                message.data_centre,
+                message.agents,
+                message.wants_flows,
             ]
             return _pack(_GREETING, fields)
         case messages.PeerStatus():
@@ -102,23 +110,37 @@
         case 5:
             return _announcement(*json.loads(data[1:]))
         case 6:
-            revision, evacuated, cold_per_second, registered = json.loads(
-                data[1:]
-            )
-            return messages.Greeting(
-                int(revision),
-                bool(evacuated),
-                float(cold_per_second),
-                bool(registered),
-            )
+            return _greeting(*json.loads(data[1:]))
         case 7:
             revision, agents, data_centre, ready = json.loads(data[1:])
             return messages.PeerStatus(
                 int(revision), _texts(agents), str(data_centre), bool(ready)
             )
+        case 8:
+            return messages.FlowsListed(tuple(_FLOW_ID.iter_unpack(data[1:])))
     return None
 
 
+def _greeting(
+    revision: Any,
+    evacuated: Any,
+    cold_per_second: Any,
+    registered: Any,
+    data_centre: Any,
+    agents: Any,
+    wants_flows: Any,
+) -> messages.Greeting:
+    return messages.Greeting(
+        revision=int(revision),
+        evacuated=bool(evacuated),
+        cold_per_second=float(cold_per_second),
+        registered=bool(registered),
+        data_centre=str(data_centre),
+        agents=int(agents),
+        wants_flows=bool(wants_flows),
+    )
+
+
 def _announcement(
     node: Any,
     service: Any,
--- a/godwitturn/tests/test_transparent_messages.py
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -29,7 +29,8 @@
         balancers=("10.0.0.1", "10.0.0.2"),
         revision=7,
     ),
-    messages.Greeting(12, True, 1.5, False),
+    messages.Greeting(12, True, 1.5, False, "a", 9, True),
+    messages.FlowsListed(((1, 2, 3, 4), (5, 6, 7, 8))),
     messages.PeerStatus(12, ("10.1.0.1",), "a", True),
 )
 
--- a/godwitturn/tests/test_transparent_world.py
+++ b/godwitturn/tests/test_transparent_world.py
@@ -107,6 +107,28 @@
         self.request_all(clients)
         self.assert_served(clients, 1)
 
+    def test_moved_flows_need_no_search(self) -> None:
+        """Agents tell the balancers of a data centre of each flow."""
+        clients = self.open_flows(60)
+        self.world.rotation.reverse()
+        self.world.rotation.pop()
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+        searched = [
+            record
+            for _, _, record in self.world.records
+            if record.event == "flow_searched"
+        ]
+        self.assertEqual([], searched)
+
+    def test_starting_balancer_learns_the_flows(self) -> None:
+        clients = self.open_flows(60)
+        node = self.world.start_balancer(BALANCERS[0])
+        self.world.run(0.1)
+        self.assertEqual(60, len(node.flow_by_id))
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
     def test_draining_target_keeps_its_flows_and_gets_no_new_ones(
         self,
     ) -> None:
