--- a/godwitturn/cli/main.py
+++ b/godwitturn/cli/main.py
@@ -7,6 +7,7 @@
 
 import defopt
 
+from godwitturn.cli import deployment
 from godwitturn.cli import exit_codes
 from godwitturn.cli import inventories
 from godwitturn.cli import keys
@@ -32,6 +33,8 @@
     "data-centre-out": rules.data_centre_out,
     "data-centre-in": rules.data_centre_in,
     "status": processes.status,
+    "check-deployment": deployment.check_deployment,
+    "beliefs": deployment.beliefs,
 }
 
 
--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -321,19 +321,19 @@
         elapsed_ms = 1000 * (now - self.heartbeat_at)
         return max(0, round(self.heartbeat.cold_ms - elapsed_ms))
 
-    def describe(self) -> dict[str, object]:
+    def describe(self, *, now: float) -> dict[str, object]:
         """Returns what this agent believes, for operators."""
         return {
             "service": self.service,
             "state": self.state.name.lower(),
             "incarnation": self.incarnation,
-            "heartbeat_at": self.heartbeat_at,
+            "heartbeat_age_s": round(now - self.heartbeat_at, 2),
             "evacuated": self.evacuated,
             "revision": self.revision,
             "flows": len(self.flow_by_id),
             "waiting": len(self._waiting),
             "balancers": {
-                address: balancer.heard_at
+                address: round(now - balancer.heard_at, 2)
                 for address, balancer in self.balancer_by_address.items()
             },
         }
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -305,7 +305,7 @@
         )
         return 2 * ready >= len(neighbours) + 1 or not neighbours
 
-    def state(self) -> dict[str, object]:
+    def state(self, *, now: float) -> dict[str, object]:
         """Returns what this balancer believes, for operators."""
         flows: dict[str, int] = {}
         for flow in self.flow_by_id.values():
@@ -323,7 +323,7 @@
                     "service": target.service,
                     "data_centre": target.data_centre,
                     "registered": target.registered,
-                    "heard_at": target.heard_at,
+                    "silent_s": round(target.silent_s(now), 2),
                     "state": (
                         target.announcement.state.name.lower()
                         if target.announcement
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -45,7 +45,9 @@
         )
         self.serve_pages(
             metrics_page.MetricsPage(
-                self.core.counts, self.gauges, self.core.describe
+                self.core.counts,
+                self.gauges,
+                lambda: self.core.describe(now=self.loop.now),
             )
         )
         self.copy = relay.Documents(0, {})
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -37,7 +37,9 @@
         self._mirror(documents.AGENT_PREFIX, AGENT_WATCH_S)
         self.serve_pages(
             metrics_page.MetricsPage(
-                self.core.counts, self.gauges, self.core.state
+                self.core.counts,
+                self.gauges,
+                lambda: self.core.state(now=self.loop.now),
             )
         )
         for seed in settings.seeds:
--- /dev/null
+++ b/godwitturn/tests/test_cli_deployment.py
@@ -0,0 +1,110 @@
+"""Tests of the subcommands for the users' platform."""
+
+import contextlib
+import io
+import json
+import pathlib
+import shutil
+import tempfile
+import unittest
+
+from godwitturn.cli import exit_codes
+from godwitturn.cli import main
+from godwitturn.standins import platform_store
+from godwitturn.tests import test_platform_programs
+from godwitturn.tests import test_platform_settings
+
+ROOT = pathlib.Path(__file__).parents[2]
+ExitCode = exit_codes.ExitCode
+
+
+def run(*words: str) -> tuple[int, str, str]:
+    """Runs a subcommand; returns its status and what it printed."""
+    out, errors = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(errors):
+        code = main.run(words)
+    return code, out.getvalue(), errors.getvalue()
+
+
+class TestCheckDeployment(unittest.TestCase):
+    """The deploy file, the template and settings."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.deploy = pathlib.Path(directory.name) / "deploy"
+        shutil.copytree(ROOT / "deploy", self.deploy)
+        self.file = self.deploy / "system.toml"
+
+    def test_file_of_the_repository(self) -> None:
+        code, out, _ = run("check-deployment", "--file", str(self.file))
+        self.assertEqual((ExitCode.DONE, "no faults\n"), (code, out))
+
+    def test_each_fault_names_the_value_and_what_is_allowed(self) -> None:
+        text = self.file.read_text()
+        text = text.replace('on = "side"', 'on = "beside"')
+        text = text.replace('metrics = "9464/metrics"', 'metrics = "1/x"')
+        text = text.replace("platform agent", "platform angel")
+        self.file.write_text(text)
+        (self.deploy / "settings.json.tmpl").unlink()
+        code, _, errors = run("check-deployment", "--file", str(self.file))
+        self.assertEqual(ExitCode.REFUSED, code)
+        for part in (
+            "on is 'beside'; allowed: edge, side",
+            "metrics is '1/x'; allowed: '9464/metrics'",
+            "must end with one of agent, balancer",
+            "template is 'deploy/settings.json.tmpl'; no such file",
+        ):
+            self.assertIn(part, errors)
+
+    def test_file_that_is_no_toml(self) -> None:
+        self.file.write_bytes(b"\xff")
+        code, out, _ = run(
+            "check-deployment", "--file", str(self.file), "--json"
+        )
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertEqual(1, len(json.loads(out)["errors"]))
+
+    def test_settings_and_their_store(self) -> None:
+        store = platform_store.PlatformStore(("127.0.0.1", 0))
+        self.addCleanup(store.server_close)
+        self.addCleanup(store.shutdown)
+        address = f"127.0.0.1:{store.server_address[1]}"
+        fields = test_platform_settings.fields(platform={"address": address})
+        path = self.deploy / "boot.json"
+        path.write_text(json.dumps(fields))
+        words = (
+            "check-deployment",
+            "--file",
+            str(self.file),
+            "--settings",
+            str(path),
+        )
+        self.assertEqual(ExitCode.DONE, run(*words)[0])
+        store.refusing = True
+        code, _, errors = run(*words)
+        self.assertEqual(ExitCode.REFUSED, code)
+        self.assertIn("answered 503; expected 200", errors)
+        path.write_text(json.dumps({**fields, "zone": 7}))
+        self.assertIn("zone is 7; expected str", run(*words)[2])
+
+
+class TestBeliefs(test_platform_programs.ProgramCase):
+    """What daemons believe."""
+
+    def test_tables_and_json(self) -> None:
+        self.start_both()
+        self.beat()
+        self.open_flow()
+        code, out, _ = run("beliefs", self.balancer, self.agent)
+        self.assertEqual(ExitCode.DONE, code)
+        self.assertIn("SILENT S", out)
+        self.assertIn("INCARNATION", out)
+        _, out, _ = run("beliefs", self.balancer, "--json")
+        state = json.loads(out)["daemons"][self.balancer]
+        self.assertEqual(1, state["targets"][self.agent]["flows_here"])
+
+    def test_daemon_that_does_not_answer(self) -> None:
+        code, _, errors = run("beliefs", self.client_address)
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+        self.assertIn(self.client_address, errors)
