Split balancer and agent; take a target's end for sure only when nothing listens

The target's state, the flow tables, the audience of an agent, the peers of a balancer and its stop have modules of their own. Found while reading, each with a test that failed before: - a late word of departure of an earlier start under the same id ended the flows of the present one; the agent now stops openings and probes; - a successor whose clock is behind was ignored for ever; it is taken when the known target has been silent for 2.5 s or has ended; - an agent that had not been greeted yet put no limit on a cold target. test_silent_agent_leaves_a_search_open cuts the agents off before the balancer starts, as balancers are told of flows now and would not search.

--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -11,10 +11,13 @@
 import time
 
 from godwitturn.core.transparent import agent as agents
+from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import peers
+from godwitturn.core.transparent import target_watch
 from godwitturn.platform import packets
 from godwitturn.protocol import transparent
 from godwitturn.standins import transparent_world
@@ -64,7 +67,10 @@
 def make_balancer(fleet: int) -> balancers.Balancer:
     """Returns a balancer that knows a fleet of agents."""
     node = balancers.Balancer(
-        address="10.0.0.1", data_centre="a", started_at=NOW - 60
+        address="10.0.0.1",
+        data_centre="a",
+        started_at=NOW - 60,
+        peers=peers.PeerTable("10.0.0.1"),
     )
     node.configure(transparent_world.configuration(), revision=1)
     for number in range(fleet):
@@ -130,11 +136,12 @@
         data_centre="a",
         run=1,
         cold=cold_limit.ColdLimit(1.5, 5),
+        target=target_watch.TargetWatch("core"),
     )
     beat = heartbeats.Heartbeat("i-1", 1, 1, "core", False, 1, 0)
     node.handle_heartbeat(beat, now=NOW)
     for number in range(flows):
-        node.flow_by_id[flow_of(number)] = agents.Flow(
+        node.flows.flow_by_id[flow_of(number)] = agent_flows.Flow(
             "10.0.0.1", NOW, accepted=True
         )
 
--- /dev/null
+++ b/godwitturn/core/transparent/agent_flows.py
@@ -0,0 +1,86 @@
+"""An agent's table of the flows at its target."""
+
+import attrs
+
+from godwitturn.core.transparent import segments
+
+IDLE_S = 60.0
+# Late copies of a closing flow's packets still find it.
+CLOSING_S = 3.0
+OPENING_S = 3.0
+
+
+@attrs.define(eq=False, repr=False)
+class Flow:
+    """A flow at the target.
+
+    Attributes:
+        balancer: Balancer that last forwarded a packet of it.
+        used_at: When its last packet passed.
+        accepted: Whether the target has accepted the opening.
+        waiting: Whether a request has no answer yet.
+        asked_at: When the first packet of that request came.
+        told: Whether other balancers were told of the flow.
+        client_ended: Whether the client has sent everything.
+        target_ended: Whether the target has sent everything.
+    """
+
+    balancer: str
+    used_at: float
+    accepted: bool = False
+    waiting: bool = False
+    asked_at: float = 0.0
+    told: bool = False
+    client_ended: bool = False
+    target_ended: bool = False
+
+    @property
+    def closing(self) -> bool:
+        """Whether both ends have sent everything."""
+        return self.client_ended and self.target_ended
+
+    def idle_limit_s(self) -> float:
+        """Returns after how many idle seconds the flow is forgotten."""
+        if self.closing:
+            return CLOSING_S
+        return IDLE_S if self.accepted else OPENING_S
+
+    def note_client(
+        self, segment: segments.Segment, balancer: str, *, now: float
+    ) -> bool:
+        """Notes a client's packet; returns whether the load changed."""
+        self.balancer = balancer
+        self.used_at = now
+        if segment.size and not self.waiting:
+            self.waiting = True
+            self.asked_at = now
+        if segment.ending:
+            self.client_ended = True
+        return segment.ending
+
+
+@attrs.define(eq=False, repr=False)
+class FlowTable:
+    """Flows by id.
+
+    Attributes:
+        flow_by_id: The flows.
+    """
+
+    flow_by_id: dict[segments.FlowId, Flow] = attrs.field(factory=dict)
+
+    def load(self) -> tuple[int, int]:
+        """Returns how many flows are open, and how many wait for answers."""
+        flows = [flow for flow in self.flow_by_id.values() if not flow.closing]
+        return len(flows), sum(flow.waiting for flow in flows)
+
+    def sweep(self, *, now: float) -> bool:
+        """Forgets idle flows; returns whether there were any."""
+        idle = [
+            flow_id
+            for flow_id, flow in self.flow_by_id.items()
+            if now - flow.used_at > flow.idle_limit_s()
+        ]
+        for flow_id in idle:
+            del self.flow_by_id[flow_id]
+        return bool(idle)
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -9,8 +9,11 @@
 
 import attrs
 
+from godwitturn.core.transparent import flow_cache
+from godwitturn.core.transparent import graceful_stop
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import pacing
+from godwitturn.core.transparent import peers as peer_tables
 from godwitturn.core.transparent import relay as relays
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import segments
@@ -21,111 +24,20 @@
 PAUSE_S = 0.5
 # Until an agent answers, it may just be starting.
 FIRST_GREETING_INTERVAL_S = 0.1
-PEER_INTERVAL_S = 0.5
-# All agents are named to other balancers at this interval.
-AGENT_LIST_INTERVAL_S = 5.0
-PEER_FORGOTTEN_S = 5.0
 AGENT_FORGOTTEN_S = 10.0
 # Clients repeat an opening after 200 ms; one that is unanswered by then is
 # offered to another target.
 OPENING_ANSWER_S = 0.15
 MAX_TRIES = 4
-# Searches that are not settled start again with the client's next packet.
-SEARCH_S = 0.15
-# Clients have at most 16 packets in flight.
-MAX_HELD = 15
-# Flows are forgotten some time after the last packet; agents still know them.
-FLOW_CACHE_S = 60.0
-FLOW_SWEEP_S = 5.0
-# Clients give an opening up after 1.4 s.
-FLOW_OPENING_S = 5.0
-# Packets of unknown flows beyond this are dropped; clients repeat them.
-MAX_SEARCHES = 4096
+SWEEP_S = 5.0
 # A balancer that starts serves without answers of all agents after this.
 START_GRACE_S = 0.5
 # Packets kept until an agent is known.
 MAX_EARLY = 512
-# Routers take a balancer out of rotation after two misses, which they count
-# twice a second.
-MISSES_TO_LEAVE = 2
-# Packets that were on their way when a router counted the second miss.
-LEAVE_DELAY_S = 0.1
-# Share of a stopping balancer's grace period that it may use.
-STOP_SHARE = 0.7
 # Without agents or configuration for this long, clients are told at once.
 UNKNOWN_GRACE_S = 2.0
 
 
-@attrs.define(eq=False, repr=False)
-class CachedFlow:
-    """Where a flow is, as far as this balancer knows.
-
-    Attributes:
-        agent: Address of the agent whose target has the flow.
-        accepted: Whether the agent has said that its target holds it.
-        tried: Agents that were offered the opening.
-        sent_at: When the opening was last forwarded.
-        used_at: When the last packet came.
-        established: Whether a packet after the opening was forwarded.
-        acknowledged: What the client's last packet acknowledged.
-    """
-
-    agent: str
-    accepted: bool
-    tried: set[str]
-    sent_at: float
-    used_at: float
-    established: bool = False
-    acknowledged: int = 0
-
-
-@attrs.define(eq=False, repr=False)
-class Search:
-    """A question to several agents about who holds a flow.
-
-    Attributes:
-        waiting: Agents that have not answered.
-        started_at: When they were asked.
-        held: The flow's next packets, until its agent is known.
-    """
-
-    waiting: set[str]
-    started_at: float
-    held: list[bytes] = attrs.field(factory=list)
-
-
-@attrs.define(eq=False, repr=False)
-class Peer:
-    """Another balancer.
-
-    Attributes:
-        heard_at: When it was last heard, or heard of.
-        data_centre: Its data centre, empty until it says so.
-        ready: Whether it takes new packets from routers.
-        listed_at: When all agents were last named to it.
-    """
-
-    heard_at: float
-    data_centre: str = ""
-    ready: bool = False
-    listed_at: float = float("-inf")
-
-
-@attrs.define(eq=False, repr=False)
-class Stop:
-    """A balancer's graceful stop.
-
-    Attributes:
-        ends_at: When the balancer ends at the latest.
-        misses: Questions of routers that were answered in the negative.
-        missed_at: When the last of them was.
-    """
-
-    ends_at: float
-    misses: int = 0
-    missed_at: float = 0.0
-
-
 @attrs.define(eq=False, repr=False)
 class Balancer:
     """State and decisions of one balancer.
@@ -134,15 +46,14 @@
         address: IP number of this balancer.
         data_centre: Its data centre.
         started_at: When it started, in seconds of the clock passed as `now`.
-        seeds: Balancers named in the settings; never forgotten as peers.
+        peers: The other balancers.
         configuration: The operators' configuration, or None until known.
         revision: Store revision of the newest change that is in force here.
         closed_data_centres: Data centres that get nothing new.
         agents_listed: Whether the agents in the store have been read.
         stop: The graceful stop, None unless one was ordered.
         table: Targets.
-        flow_by_id: Cache of flows.
-        peer_by_address: Other balancers.
+        cache: Where flows are.
         relay: Decides when to ask others for newer documents.
         counts: Counters by name.
     """
@@ -150,16 +61,14 @@
     address: str
     data_centre: str
     started_at: float
-    seeds: frozenset[str] = frozenset()
+    peers: peer_tables.PeerTable
     configuration: routes.Configuration | None = None
     revision: int = 0
     closed_data_centres: frozenset[str] = frozenset()
     agents_listed: bool = False
-    stop: Stop | None = None
+    stop: graceful_stop.GracefulStop | None = None
     table: targets.TargetTable = attrs.field(factory=targets.TargetTable)
-    flow_by_id: dict[segments.FlowId, CachedFlow] = attrs.field(factory=dict)
-    search_by_id: dict[segments.FlowId, Search] = attrs.field(factory=dict)
-    peer_by_address: dict[str, Peer] = attrs.field(factory=dict)
+    cache: flow_cache.FlowCache = attrs.field(factory=flow_cache.FlowCache)
     relay: relays.Relay = attrs.field(factory=relays.Relay)
     counts: dict[str, int] = attrs.field(factory=dict)
     _services_by_endpoint: dict[routes.Endpoint, set[str]] = attrs.field(
@@ -256,11 +165,6 @@
             return False
         return all(heard) or now - self.started_at > START_GRACE_S
 
-    def meet(self, address: str, *, now: float) -> None:
-        """Notes that another balancer may exist."""
-        if address != self.address:
-            self.peer_by_address.setdefault(address, Peer(now))
-
     def begin_stop(self, *, now: float, grace_s: float) -> None:
         """Begins a graceful stop: readiness fails, packets are forwarded.
 
@@ -268,48 +172,26 @@
             now: Seconds.
             grace_s: Seconds until the process is killed.
         """
-        self.stop = Stop(ends_at=now + STOP_SHARE * grace_s)
+        self.stop = graceful_stop.GracefulStop(
+            now + graceful_stop.GRACE_SHARE * grace_s
+        )
         self._peers_at = float("-inf")
 
     def note_miss(self, *, now: float) -> None:
         """Notes that a router was told that this balancer isn't ready."""
         if self.stop is not None:
-            self.stop.misses += 1
-            self.stop.missed_at = now
+            self.stop.note_miss(now=now)
 
     def may_end(self, *, now: float) -> bool:
-        """Returns whether a stopping balancer may end.
-
-        It forwards until routers have taken it out of rotation. They use even
-        those that aren't ready while fewer than half of a data centre's
-        balancers are.
-        """
-        stop = self.stop
-        if stop is None:
-            return False
-        if now >= stop.ends_at:
-            return True
-        if (
-            stop.misses < MISSES_TO_LEAVE
-            or now - stop.missed_at < LEAVE_DELAY_S
-        ):
+        """Returns whether a stopping balancer may end."""
+        if self.stop is None:
             return False
-        neighbours = [
-            peer
-            for peer in self.peer_by_address.values()
-            if peer.data_centre == self.data_centre
-        ]
-        ready = sum(
-            peer.ready and now - peer.heard_at < 2 * PEER_INTERVAL_S
-            for peer in neighbours
-        )
-        return 2 * ready >= len(neighbours) + 1 or not neighbours
+        half_ready = self.peers.half_ready(self.data_centre, now=now)
+        return self.stop.may_end(half_ready=half_ready, now=now)
 
     def state(self, *, now: float) -> dict[str, object]:
         """Returns what this balancer believes, for operators."""
-        flows: dict[str, int] = {}
-        for flow in self.flow_by_id.values():
-            flows[flow.agent] = flows.get(flow.agent, 0) + 1
+        flows = self.cache.count_by_agent()
         return {
             "version": (
                 self.configuration.version if self.configuration else None
@@ -317,7 +199,7 @@
             "revision": self.revision,
             "closed_data_centres": sorted(self.closed_data_centres),
             "stopping": self.stop is not None,
-            "peers": sorted(self.peer_by_address),
+            "peers": sorted(self.peers.peer_by_address),
             "targets": {
                 address: {
                     "service": target.service,
@@ -342,7 +224,7 @@
         self, segment: segments.Segment, *, now: float
     ) -> list[messages.Action]:
         """Forwards a client's packet."""
-        flow = self.flow_by_id.get(segment.flow_id)
+        flow = self.cache.flow_by_id.get(segment.flow_id)
         if flow is not None:
             flow.used_at = now
         if segment.opening:
@@ -352,7 +234,6 @@
                 return []
             return self._search(segment, frozenset(), now=now)
         if self._lost(flow.agent, now=now):
-            self.flow_by_id.pop(segment.flow_id, None)
             return self._reset(segment, "target_lost", agent=flow.agent)
         flow.established = True
         flow.acknowledged = segment.acknowledged
@@ -379,7 +260,7 @@
     def _open(
         self,
         segment: segments.Segment,
-        flow: CachedFlow | None,
+        flow: flow_cache.CachedFlow | None,
         *,
         now: float,
     ) -> list[messages.Action]:
@@ -399,7 +280,7 @@
     def _offer(
         self,
         segment: segments.Segment,
-        flow: CachedFlow | None,
+        flow: flow_cache.CachedFlow | None,
         *,
         now: float,
     ) -> list[messages.Action]:
@@ -433,7 +314,7 @@
         else:
             return self._reject(segment, tried, now=now)
         tried.add(target.address)
-        self.flow_by_id[segment.flow_id] = CachedFlow(
+        self.cache.flow_by_id[segment.flow_id] = flow_cache.CachedFlow(
             agent=target.address,
             accepted=False,
             tried=tried,
@@ -483,7 +364,7 @@
         actions: list[messages.Action] = []
         postponed, self._postponed_by_id = self._postponed_by_id, {}
         for flow_id, segment in postponed.items():
-            if flow_id not in self.flow_by_id:
+            if flow_id not in self.cache.flow_by_id:
                 actions += self._offer(segment, None, now=now)
         return actions
 
@@ -491,8 +372,7 @@
         self, segment: segments.Segment, reason: str, **fields: object
     ) -> list[messages.Action]:
         self.count(f"reset_{reason}")
-        self.flow_by_id.pop(segment.flow_id, None)
-        self.search_by_id.pop(segment.flow_id, None)
+        self.cache.forget(segment.flow_id)
         if segment.resetting:
             return []
         return [
@@ -525,12 +405,11 @@
         target's service may be any. Only agents of services that the route
         has had are told to try their target, should they not know.
         """
-        search = self.search_by_id.get(segment.flow_id)
-        if search is not None and now - search.started_at < SEARCH_S:
-            if len(search.held) < MAX_HELD:
-                search.held.append(segment.data)
+        search = self.cache.running_search(segment.flow_id, now=now)
+        if search is not None:
+            search.hold(segment.data)
             return []
-        if len(self.search_by_id) >= MAX_SEARCHES and search is None:
+        if self.cache.full(segment.flow_id):
             self.count("searches_left_out")
             return []
         agents = set(self.table.target_by_address) - excluded
@@ -540,7 +419,9 @@
             if excluded and not self._uncertain(now):
                 return self._reset(segment, "flow_unknown")
             return []
-        self.search_by_id[segment.flow_id] = Search(set(agents), now)
+        self.cache.search_by_id[segment.flow_id] = flow_cache.Search(
+            set(agents), now
+        )
         self.count("searches")
         allowed = self._services_by_endpoint.get(segment.flow_id[2:], set())
         actions: list[messages.Action] = [
@@ -587,11 +468,7 @@
                 return self._listed(sender, message.flow_ids, now=now)
             case messages.PeerStatus():
                 self.relay.hear(sender, message.revision, now=now)
-                self.meet(sender, now=now)
-                peer = self.peer_by_address[sender]
-                peer.heard_at = now
-                peer.data_centre = message.data_centre
-                peer.ready = message.ready
+                self.peers.hear(sender, message, now=now)
                 for agent in message.agents:
                     self.table.add(agent, now=now)
                 return []
@@ -605,44 +482,32 @@
         """Notes that an agent's target holds a flow."""
         self.table.hear(agent, now=now)
         service = self._service_of(agent)
-        known = self.flow_by_id.get(flow_id)
-        search = self.search_by_id.pop(flow_id, None)
-        flow = CachedFlow(
-            agent=agent,
-            accepted=True,
-            tried={agent},
-            sent_at=now,
-            used_at=now,
-        )
-        self.flow_by_id[flow_id] = flow
+        known = self.cache.flow_by_id.get(flow_id)
+        self.cache.hold(flow_id, agent, now=now)
         actions: list[messages.Action] = []
-        if known is not None and known.agent == agent:
-            flow.established = known.established
-            flow.acknowledged = known.acknowledged
-            if not known.accepted:
-                actions.append(
-                    messages.Observe(
-                        "opening_time",
-                        service,
-                        flow_id[2:],
-                        now - known.sent_at,
-                    )
-                )
-        if search is not None:
+        if known is not None and known.agent == agent and not known.accepted:
             actions.append(
-                messages.Record(
-                    "flow_found",
-                    {
-                        "flow": segments.flow_name(flow_id),
-                        "agent": agent,
-                        "after_ms": round(1000 * (now - search.started_at)),
-                    },
+                messages.Observe(
+                    "opening_time", service, flow_id[2:], now - known.sent_at
                 )
             )
-            actions += [
-                messages.Send(agent, messages.Forward(service, False, data))
-                for data in search.held
-            ]
+        search = self.cache.search_by_id.pop(flow_id, None)
+        if search is None:
+            return actions
+        actions.append(
+            messages.Record(
+                "flow_found",
+                {
+                    "flow": segments.flow_name(flow_id),
+                    "agent": agent,
+                    "after_ms": round(1000 * (now - search.started_at)),
+                },
+            )
+        )
+        actions += [
+            messages.Send(agent, messages.Forward(service, False, data))
+            for data in search.held
+        ]
         return actions
 
     def _listed(
@@ -656,17 +521,11 @@
         self.table.hear(agent, now=now)
         actions: list[messages.Action] = []
         for flow_id in flow_ids:
-            known = self.flow_by_id.get(flow_id)
-            if flow_id in self.search_by_id:
+            known = self.cache.flow_by_id.get(flow_id)
+            if flow_id in self.cache.search_by_id:
                 actions += self._held(agent, flow_id, now=now)
             elif known is None or not known.established:
-                self.flow_by_id[flow_id] = CachedFlow(
-                    agent=agent,
-                    accepted=True,
-                    tried={agent},
-                    sent_at=now,
-                    used_at=now,
-                )
+                self.cache.hold(flow_id, agent, now=now)
         return actions
 
     def handle_refusal(
@@ -682,9 +541,9 @@
         target = self.table.target_by_address.get(sender)
         if target is not None:
             target.paused_until = now + targets.FULL_PAUSE_S
-        flow = self.flow_by_id.get(segment.flow_id)
+        flow = self.cache.flow_by_id.get(segment.flow_id)
         if flow is None:
-            flow = CachedFlow(sender, False, {sender}, now, now)
+            flow = flow_cache.CachedFlow(sender, False, {sender}, now, now)
         elif flow.agent != sender:
             return []  # another target was asked meanwhile
         return [
@@ -703,12 +562,11 @@
         self, sender: str, segment: segments.Segment, *, now: float
     ) -> list[messages.Action]:
         """Looks elsewhere for a flow that an agent's target doesn't hold."""
-        flow = self.flow_by_id.get(segment.flow_id)
+        flow = self.cache.flow_by_id.get(segment.flow_id)
         if flow is not None and flow.agent == sender:
-            del self.flow_by_id[segment.flow_id]
-            self.search_by_id.pop(segment.flow_id, None)
+            self.cache.forget(segment.flow_id)
             return self._search(segment, frozenset({sender}), now=now)
-        search = self.search_by_id.get(segment.flow_id)
+        search = self.cache.search_by_id.get(segment.flow_id)
         if search is None or flow is not None:
             return []
         search.waiting.discard(sender)
@@ -728,7 +586,7 @@
     ) -> list[messages.Action]:
         self.relay.hear(sender, announcement.revision, now=now)
         for peer in announcement.balancers:
-            self.meet(peer, now=now)
+            self.peers.meet(peer, now=now)
         target = self.table.target_by_address.get(sender)
         previous = target.announcement if target is not None else None
         changed = self.table.announce(sender, announcement, now=now)
@@ -762,23 +620,21 @@
         request on a new flow; one that may run only once would else be lost.
         """
         actions: list[messages.Action] = []
-        for flow_id, flow in list(self.flow_by_id.items()):
-            if flow.agent != agent:
+        for flow_id, flow in self.cache.take_flows_of(agent):
+            if not flow.established:
                 continue
-            del self.flow_by_id[flow_id]
-            if flow.established:
-                self.count("reset_target_ended")
-                actions.append(messages.Reset(flow_id, flow.acknowledged))
-                actions.append(
-                    messages.Record(
-                        "flow_reset",
-                        {
-                            "flow": segments.flow_name(flow_id),
-                            "reason": "target_ended",
-                            "agent": agent,
-                        },
-                    )
-                )
+            self.count("reset_target_ended")
+            actions += [
+                messages.Reset(flow_id, flow.acknowledged),
+                messages.Record(
+                    "flow_reset",
+                    {
+                        "flow": segments.flow_name(flow_id),
+                        "reason": "target_ended",
+                        "agent": agent,
+                    },
+                ),
+            ]
         return actions
 
     # Time.
@@ -797,12 +653,18 @@
         actions += self._handle_early(now=now)
         actions += self._offer_postponed(now=now)
         actions += self._greetings(now)
-        if now - self._peers_at >= PEER_INTERVAL_S:
+        if now - self._peers_at >= peer_tables.INTERVAL_S:
             self._peers_at = now
-            actions += self._peer_statuses(now)
-        if now - self._swept_at >= FLOW_SWEEP_S:
+            actions += self.peers.statuses(
+                self.table,
+                revision=self.revision,
+                data_centre=self.data_centre,
+                ready=self.ready(now=now),
+                now=now,
+            )
+        if now - self._swept_at >= SWEEP_S:
             self._swept_at = now
-            self._sweep(now)
+            self.cache.sweep(now=now)
         lost = self.table.forget_lost(now=now, after_s=AGENT_FORGOTTEN_S)
         for address in lost:
             self._greeted_at.pop(address, None)
@@ -849,47 +711,6 @@
                 actions.append(self.greet(address, now=now))
         return actions
 
-    def _peer_statuses(self, now: float) -> list[messages.Action]:
-        heard = [
-            target
-            for target in self.table.target_by_address.values()
-            if target.silent_s(now) < targets.LOST_S
-        ]
-        all_agents = tuple(target.address for target in heard)
-        new_agents = tuple(
-            target.address
-            for target in heard
-            if now - target.added_at < 2 * PEER_INTERVAL_S
-        )
-        ready = self.ready(now=now)
-        actions: list[messages.Action] = []
-        for address, peer in list(self.peer_by_address.items()):
-            silent_s = now - peer.heard_at
-            if silent_s > PEER_FORGOTTEN_S and address not in self.seeds:
-                del self.peer_by_address[address]
-                continue
-            listing = now - peer.listed_at >= AGENT_LIST_INTERVAL_S
-            if listing:
-                peer.listed_at = now
-            status = messages.PeerStatus(
-                self.revision,
-                all_agents if listing else new_agents,
-                self.data_centre,
-                ready,
-            )
-            actions.append(messages.Send(address, status))
-        return actions
-
-    def _sweep(self, now: float) -> None:
-        """Forgets flows and searches that are no longer used."""
-        for flow_id, flow in list(self.flow_by_id.items()):
-            limit_s = FLOW_CACHE_S if flow.accepted else FLOW_OPENING_S
-            if now - flow.used_at > limit_s:
-                del self.flow_by_id[flow_id]
-        for flow_id, search in list(self.search_by_id.items()):
-            if now - search.started_at > FLOW_SWEEP_S:
-                del self.search_by_id[flow_id]
-
     def count(self, name: str) -> None:
         """Adds one to a counter."""
         self.counts[name] = self.counts.get(name, 0) + 1
--- a/godwitturn/core/transparent/catalogue.py
+++ b/godwitturn/core/transparent/catalogue.py
@@ -23,6 +23,7 @@
     "target_announced": 624,
     "target_state": 625,
     "target_down": 626,
+    "target_departs": 620,
     "heartbeat_ignored": 627,
     "malformed_heartbeat": 628,
     "malformed_datagram": 629,
--- a/godwitturn/core/transparent/cold_limit.py
+++ b/godwitturn/core/transparent/cold_limit.py
@@ -27,12 +27,12 @@
         overshoot: By which factor a second may exceed the rate.
         slack: By how many openings it may exceed that.
         per_second: Requests a second that the cold target bears; 0 if its
-            service names no limit.
+            service names no limit, None if that isn't known yet.
     """
 
     overshoot: float
     slack: float
-    per_second: float = 0.0
+    per_second: float | None = None
     _admitted_at: collections.deque[float] = attrs.field(
         factory=collections.deque
     )
@@ -40,9 +40,9 @@
     @property
     def per_window(self) -> int:
         """Openings admitted in any window."""
-        if not self.per_second:
+        if self.per_second == 0:
             return UNLIMITED
-        bound = self.per_second * self.overshoot + self.slack
+        bound = (self.per_second or 0.0) * self.overshoot + self.slack
         return max(1, int(bound) - 1)
 
     def room(self, *, now: float) -> int:
--- /dev/null
+++ b/godwitturn/core/transparent/graceful_stop.py
@@ -0,0 +1,51 @@
+"""A balancer's graceful stop.
+
+Pattern: balancers are restarted one after the other, more quickly than each is
+back. Routers use also those that aren't ready while fewer than half of a data
+centre's balancers are, so one that ends too early loses packets.
+"""
+
+import attrs
+
+# Routers take a balancer out of rotation after two misses, which they count
+# twice a second.
+MISSES_TO_LEAVE = 2
+# Packets that were on their way when a router counted the second miss.
+LEAVE_DELAY_S = 0.1
+# Share of the grace period that may be used.
+GRACE_SHARE = 0.7
+
+
+@attrs.define(eq=False, repr=False)
+class GracefulStop:
+    """State of a stop.
+
+    Attributes:
+        ends_at: When the balancer ends at the latest, in seconds.
+        misses: Questions of routers that were answered in the negative.
+        missed_at: When the last of them was.
+    """
+
+    ends_at: float
+    misses: int = 0
+    missed_at: float = 0.0
+
+    def note_miss(self, *, now: float) -> None:
+        """Notes that a router was told that the balancer isn't ready."""
+        self.misses += 1
+        self.missed_at = now
+
+    def may_end(self, *, half_ready: bool, now: float) -> bool:
+        """Returns whether the balancer may end.
+
+        Args:
+            half_ready: Whether half of the data centre's balancers are ready.
+            now: Seconds.
+        """
+        if now >= self.ends_at:
+            return True
+        out_of_rotation = (
+            self.misses >= MISSES_TO_LEAVE
+            and now - self.missed_at >= LEAVE_DELAY_S
+        )
+        return out_of_rotation and half_ready
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -1,10 +1,12 @@
 """Program of an agent on the platform, beside one target."""
 
 from godwitturn.core.transparent import agent as agents
+from godwitturn.core.transparent import audience as audiences
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import registration
 from godwitturn.core.transparent import relay
+from godwitturn.core.transparent import target_watch
 from godwitturn.daemons import draws
 from godwitturn.daemons import http_client
 from godwitturn.daemons import metrics_page
@@ -38,7 +40,8 @@
             cold=cold_limit.ColdLimit(
                 settings.cold_overshoot, settings.cold_slack
             ),
-            seeds=frozenset(settings.seeds),
+            target=target_watch.TargetWatch(settings.service),
+            audience=audiences.Audience(frozenset(settings.seeds)),
         )
         self.target_socket = channels.DatagramSocket(
             self.loop, settings.from_target, self.target_packet_received
@@ -61,7 +64,7 @@
         self.store = store.Store(self.store_client)
         self.store_busy = False
         for seed in settings.seeds:
-            self.core.meet(seed, now=self.loop.now)
+            self.core.audience.meet(seed, now=self.loop.now)
         self.perform(self.core.announce(now=self.loop.now))
         self.register()
 
@@ -192,8 +195,8 @@
     def gauges(self) -> dict[str, float]:
         """Returns present values."""
         return {
-            "flows": len(self.core.flow_by_id),
-            "balancers": len(self.core.balancer_by_address),
+            "flows": len(self.core.flows.flow_by_id),
+            "balancers": len(self.core.audience.balancer_by_address),
             "log_lines_left_out": self.log.dropped,
         }
 
@@ -208,10 +211,9 @@
 
         Beside a target that goes on, the next run of the agent takes over.
         """
-        self.record("stopping", flows=len(self.core.flow_by_id))
-        call = self.registration.last_call(
-            target_ended=self.core.state == messages.TargetState.DOWN
-        )
+        self.record("stopping", flows=len(self.core.flows.flow_by_id))
+        self.perform(self.core.handle_stop(now=self.loop.now))
+        call = self.registration.last_call(target_ended=self.core.target.down)
         if call is None or self.store_busy:
             self.end()
             return
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -3,6 +3,7 @@
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import mirror
+from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import relay
 from godwitturn.daemons import draws
 from godwitturn.daemons import http_client
@@ -27,7 +28,7 @@
             address=settings.address,
             data_centre=settings.data_centre,
             started_at=self.loop.now,
-            seeds=frozenset(settings.seeds),
+            peers=peers.PeerTable(settings.address, frozenset(settings.seeds)),
         )
         self.was_ready = False
         self.store_clients: list[http_client.HttpClient] = []
@@ -43,7 +44,7 @@
             )
         )
         for seed in settings.seeds:
-            self.core.meet(seed, now=self.loop.now)
+            self.core.peers.meet(seed, now=self.loop.now)
 
     def _mirror(self, prefix: str, wait_s: float) -> mirror.Mirror:
         """Keeps a copy of a prefix of the store."""
@@ -90,7 +91,7 @@
         for client in self.store_clients:
             client.move(settings.store)
         for seed in settings.seeds:
-            self.core.meet(seed, now=self.loop.now)
+            self.core.peers.meet(seed, now=self.loop.now)
 
     def store_changed(
         self, copy: mirror.Mirror, changes: list[mirror.Item]
@@ -195,9 +196,9 @@
         """Returns present values."""
         configuration = self.core.configuration
         return {
-            "flows": len(self.core.flow_by_id),
+            "flows": len(self.core.cache.flow_by_id),
             "agents": len(self.core.table.target_by_address),
-            "peers": len(self.core.peer_by_address),
+            "peers": len(self.core.peers.peer_by_address),
             "ready": float(self.was_ready),
             "configuration_version": (
                 configuration.version if configuration else 0
@@ -216,7 +217,7 @@
     def stop(self) -> None:
         """Begins a graceful stop."""
         if self.core.stop is None:
-            self.record("stopping", flows=len(self.core.flow_by_id))
+            self.record("stopping", flows=len(self.core.cache.flow_by_id))
             self.core.begin_stop(
                 now=self.loop.now, grace_s=self.settings.grace_s
             )
--- a/godwitturn/standins/transparent_world.py
+++ b/godwitturn/standins/transparent_world.py
@@ -18,8 +18,10 @@
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import target_watch
 from godwitturn.platform import packets
 from godwitturn.protocol import transparent
 
@@ -209,7 +211,10 @@
     ) -> balancers.Balancer:
         """Starts a balancer that reads the store at once."""
         node = balancers.Balancer(
-            address=address, data_centre=data_centre, started_at=self.now
+            address=address,
+            data_centre=data_centre,
+            started_at=self.now,
+            peers=peers.PeerTable(address),
         )
         self.balancer_by_address[address] = node
         if rotate and address not in self.rotation:
@@ -272,6 +277,7 @@
             data_centre=vm.data_centre,
             run=self.random.getrandbits(32),
             cold=cold_limit.ColdLimit(1.5, 5),
+            target=target_watch.TargetWatch(vm.service),
         )
         vm.agent = node
         self._tick_agent(vm, node)
--- a/godwitturn/tests/test_cold_limit.py
+++ b/godwitturn/tests/test_cold_limit.py
@@ -20,9 +20,14 @@
             self.assertLessEqual(len(second), 4.0 * 1.5 + 5)
 
     def test_service_without_limit(self) -> None:
-        limit = cold_limit.ColdLimit(1.5, 5)
+        limit = cold_limit.ColdLimit(1.5, 5, per_second=0)
         self.assertTrue(all(limit.admit(now=0.0) for _ in range(1000)))
 
+    def test_service_not_known_yet(self) -> None:
+        limit = cold_limit.ColdLimit(1.5, 5)
+        admitted = sum(limit.admit(now=0.0) for _ in range(100))
+        self.assertEqual(4, admitted)
+
     def test_at_least_one_is_admitted(self) -> None:
         limit = cold_limit.ColdLimit(1.0, 0.0, per_second=0.5)
         self.assertTrue(limit.admit(now=0.0))
--- a/godwitturn/tests/test_operations_page.py
+++ b/godwitturn/tests/test_operations_page.py
@@ -97,10 +97,10 @@
 
     def test_silent_agent_leaves_a_search_open(self) -> None:
         client = self.open_flow()
-        self.world.start_balancer(BALANCER)
-        self.world.run(0.6)
         for address in VMS:
             self.world.cut.add((address, BALANCER))
+        self.world.start_balancer(BALANCER)
+        self.world.run(0.6)
         self.world.request(client)
         self.world.run(0.3)
         events = self.events(client)
--- a/godwitturn/tests/test_transparent_world.py
+++ b/godwitturn/tests/test_transparent_world.py
@@ -125,7 +125,7 @@
         clients = self.open_flows(60)
         node = self.world.start_balancer(BALANCERS[0])
         self.world.run(0.1)
-        self.assertEqual(60, len(node.flow_by_id))
+        self.assertEqual(60, len(node.cache.flow_by_id))
         self.request_all(clients)
         self.assert_served(clients, 1)
 
@@ -249,6 +249,35 @@
         self.request_all(clients)
         self.assert_served(clients, 1)
 
+    def test_late_departure_resets_nothing(self) -> None:
+        """The word is of an earlier start under the same id."""
+        clients = self.open_flows(35)
+        vm = self.world.vm_by_address[VMS[0]]
+        assert vm.agent is not None and vm.target is not None
+        actions = vm.agent.handle_departure(
+            vm.target.target_id, now=self.world.now
+        )
+        self.world.perform(vm.address, actions)
+        self.world.run(2.0)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
+    def test_departed_target_gets_nothing_new(self) -> None:
+        self.open_flows(14)
+        vm = self.world.vm_by_address[VMS[0]]
+        assert vm.agent is not None and vm.target is not None
+        actions = vm.agent.handle_departure(
+            vm.target.target_id, now=self.world.now
+        )
+        self.world.perform(vm.address, actions)
+        vm.target = None
+        self.world.run(0.3)
+        resets = sum(c.resets for c in self.world.client_by_id.values())
+        self.assertGreater(resets, 0)
+        clients = self.open_flows(14)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
     def test_crashed_target_is_noticed_and_its_flows_are_reset(self) -> None:
         clients = self.open_flows(35)
         vm = self.world.vm_by_address[VMS[0]]
@@ -367,8 +396,8 @@
         registered = world.vm_by_address.pop(VMS[0])
         lonely = world.start_balancer(BALANCERS[1])
         world.vm_by_address[VMS[0]] = registered
-        lonely.meet(BALANCERS[0], now=world.now)
+        lonely.peers.meet(BALANCERS[0], now=world.now)
         first = world.balancer_by_address[BALANCERS[0]]
-        first.meet(BALANCERS[1], now=world.now)
+        first.peers.meet(BALANCERS[1], now=world.now)
         world.run(1.5)
         self.assertTrue(lonely.ready(now=world.now))
