Relay packets through a balancer that hears an agent which is silent here

Ruled out: targets that ended (no target_down line), agents that restarted. Change: balancers say which agents they don't hear; one that doesn't hear an agent sends its flows' packets through a balancer of a third data centre that does, and gives the agent up only if there is none.

--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -237,14 +237,32 @@
             return self._reset(segment, "target_lost", agent=flow.agent)
         flow.established = True
         flow.acknowledged = segment.acknowledged
-        return [
-            messages.Send(
-                flow.agent,
-                messages.Forward(
-                    self._service_of(flow.agent), False, segment.data
-                ),
-            )
-        ]
+        forward = messages.Forward(
+            self._service_of(flow.agent), False, segment.data
+        )
+        relay = self._relay_to(flow.agent, now=now)
+        if relay is not None:
+            self.count("relayed")
+            relayed = messages.Relayed(flow.agent, forward)
+            return [messages.Send(relay, relayed)]
+        return [messages.Send(flow.agent, forward)]
+
+    def _relay_to(self, agent: str, *, now: float) -> str | None:
+        """Returns a balancer that reaches an agent that is silent here.
+
+        Two data centres may be cut off from each other while a third one
+        reaches both.
+        """
+        target = self.table.target_by_address.get(agent)
+        if target is None or target.silent_s(now) <= targets.SILENT_S:
+            return None
+        if not self.table.mostly_heard(now=now):
+            return None
+        return self.peers.relay_to(
+            agent,
+            frozenset({self.data_centre, target.data_centre}),
+            now=now,
+        )
 
     def _service_of(self, agent: str) -> str:
         target = self.table.target_by_address.get(agent)
@@ -255,7 +273,9 @@
         target = self.table.target_by_address.get(agent)
         if target is not None and target.silent_s(now) <= targets.LOST_S:
             return False
-        return self.table.mostly_heard(now=now)
+        if not self.table.mostly_heard(now=now):
+            return False
+        return self._relay_to(agent, now=now) is None
 
     def _open(
         self,
@@ -466,6 +486,8 @@
                 return self._held(sender, message.flow_id, now=now)
             case messages.FlowsListed():
                 return self._listed(sender, message.flow_ids, now=now)
+            case messages.Relayed(agent, forward):
+                return self._pass_on(agent, forward, now=now)
             case messages.PeerStatus():
                 self.relay.hear(sender, message.revision, now=now)
                 self.peers.hear(sender, message, now=now)
@@ -476,6 +498,16 @@
                 self.count("unexpected_messages")
                 return []
 
+    def _pass_on(
+        self, agent: str, forward: messages.Forward, *, now: float
+    ) -> list[messages.Action]:
+        """Passes a packet on for a balancer that doesn't reach the agent."""
+        target = self.table.target_by_address.get(agent)
+        if target is None or target.silent_s(now) > targets.LOST_S:
+            self.count("relayed_in_vain")
+            return []
+        return [messages.Send(agent, forward)]
+
     def _held(
         self, agent: str, flow_id: segments.FlowId, *, now: float
     ) -> list[messages.Action]:
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -43,6 +43,19 @@
     data: bytes
 
 
+@attrs.define(frozen=True, repr=False)
+class Relayed:
+    """A packet for an agent that its sender doesn't reach, but we may.
+
+    Attributes:
+        agent: Address of the agent.
+        forward: What to send it.
+    """
+
+    agent: str
+    forward: Forward
+
+
 @attrs.define(frozen=True, repr=False)
 class Refused:
     """An agent hands an opening back.
@@ -160,16 +173,19 @@
             name only those that are new to it.
         data_centre: Its data centre.
         ready: Whether it takes new packets from routers.
+        silent: Addresses of agents that it doesn't hear any more.
     """
 
     revision: int
     agents: tuple[str, ...]
     data_centre: str
     ready: bool
+    silent: tuple[str, ...]
 
 
 Message = (
     Forward
+    | Relayed
     | Refused
     | FlowMissing
     | FlowHeld
--- a/godwitturn/core/transparent/peers.py
+++ b/godwitturn/core/transparent/peers.py
@@ -19,12 +19,14 @@
         heard_at: When it was last heard, or heard of.
         data_centre: Its data centre, empty until it says so.
         ready: Whether it takes new packets from routers.
+        silent: Agents that it doesn't hear any more.
         listed_at: When all agents were last named to it.
     """
 
     heard_at: float
     data_centre: str = ""
     ready: bool = False
+    silent: frozenset[str] = frozenset()
     listed_at: float = float("-inf")
 
 
@@ -57,6 +59,32 @@
             peer.heard_at = now
             peer.data_centre = status.data_centre
             peer.ready = status.ready
+            peer.silent = frozenset(status.silent)
+
+    def relay_to(
+        self,
+        agent: str,
+        without: frozenset[str],
+        *,
+        now: float,
+    ) -> str | None:
+        """Returns a balancer that hears an agent, None if there is none.
+
+        Args:
+            agent: Address of the agent.
+            without: Data centres to leave out, as the link between them is
+                the one that is likely cut.
+            now: Seconds.
+        """
+        for address, peer in self.peer_by_address.items():
+            if (
+                peer.data_centre
+                and peer.data_centre not in without
+                and agent not in peer.silent
+                and now - peer.heard_at < targets.LOST_S
+            ):
+                return address
+        return None
 
     def half_ready(self, data_centre: str, *, now: float) -> bool:
         """Returns whether half of a data centre is ready without this one.
@@ -96,6 +124,11 @@
             for target in heard
             if now - target.added_at < 2 * INTERVAL_S
         )
+        silent = tuple(
+            target.address
+            for target in table.target_by_address.values()
+            if target.silent_s(now) > targets.SILENT_S
+        )
         actions: list[messages.Action] = []
         for address, peer in list(self.peer_by_address.items()):
             silent_s = now - peer.heard_at
@@ -106,6 +139,8 @@
             if listing:
                 peer.listed_at = now
             agents = all_agents if listing else new_agents
-            status = messages.PeerStatus(revision, agents, data_centre, ready)
+            status = messages.PeerStatus(
+                revision, agents, data_centre, ready, silent
+            )
             actions.append(messages.Send(address, status))
         return actions
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import socket
 import struct
 from typing import Any
 
@@ -18,6 +19,8 @@
 _GREETING = 6
 _PEER_STATUS = 7
 _LISTED = 8
+_RELAYED = 9
+_ADDRESS_BYTES = 4
 
 # Kind, search flag, length of the service's name.
 _FORWARD_HEADER = struct.Struct("!BBB")
@@ -33,6 +36,9 @@
             name = service.encode()
             header = _FORWARD_HEADER.pack(_FORWARD, search, len(name))
             return header + name + data
+        case messages.Relayed(agent, forward):
+            address = socket.inet_aton(agent)
+            return bytes((_RELAYED,)) + address + encode(forward)
         case messages.Refused(reason, data):
             return _REFUSED_HEADER.pack(_REFUSED, reason) + data
         case messages.FlowMissing(data):
@@ -76,6 +82,7 @@
                 message.agents,
                 message.data_centre,
                 message.ready,
+                message.silent,
             ]
             return _pack(_PEER_STATUS, fields)
 
@@ -89,7 +96,7 @@
     """Returns the message in a datagram, or None if it is malformed."""
     try:
         return _decode(data)
-    except (ValueError, TypeError, IndexError, struct.error):
+    except (ValueError, TypeError, IndexError, OSError, struct.error):
         return None
 
 
@@ -112,10 +119,20 @@
         case 6:
             return _greeting(*json.loads(data[1:]))
         case 7:
-            revision, agents, data_centre, ready = json.loads(data[1:])
+            revision, agents, data_centre, ready, silent = json.loads(data[1:])
             return messages.PeerStatus(
-                int(revision), _texts(agents), str(data_centre), bool(ready)
+                int(revision),
+                _texts(agents),
+                str(data_centre),
+                bool(ready),
+                _texts(silent),
             )
+        case 9:
+            start = 1 + _ADDRESS_BYTES
+            forward = _decode(data[start:])
+            if not isinstance(forward, messages.Forward):
+                return None
+            return messages.Relayed(socket.inet_ntoa(data[1:start]), forward)
         case 8:
             return messages.FlowsListed(tuple(_FLOW_ID.iter_unpack(data[1:])))
     return None
--- a/godwitturn/tests/test_graceful_stop.py
+++ b/godwitturn/tests/test_graceful_stop.py
@@ -37,7 +37,7 @@
 
     def hear(self, address: str, *, ready: bool, now: float = 0.0) -> None:
         """Takes a status of a balancer of data centre a."""
-        status = messages.PeerStatus(0, (), "a", ready)
+        status = messages.PeerStatus(0, (), "a", ready, ())
         self.peers.hear(address, status, now=now)
 
     def test_half_of_the_data_centre(self) -> None:
@@ -53,6 +53,23 @@
         self.hear("b1", ready=True)
         self.assertFalse(self.peers.half_ready("a", now=1.5))
 
+    def test_relay_is_in_a_third_data_centre_and_hears_the_agent(self) -> None:
+        for address, data_centre, silent in (
+            ("b1", "a", ()),
+            ("b2", "b", ()),
+            ("b3", "c", ("agent",)),
+            ("b4", "d", ()),
+        ):
+            status = messages.PeerStatus(0, (), data_centre, True, silent)
+            self.peers.hear(address, status, now=0.0)
+        without = frozenset({"a", "b"})
+
+        def relay(now: float) -> str | None:
+            return self.peers.relay_to("agent", without, now=now)
+
+        self.assertEqual("b4", relay(0.5))
+        self.assertIsNone(relay(2.0))
+
     def test_own_address_is_no_peer(self) -> None:
         self.peers.meet("b0", now=0.0)
         self.hear("b0", ready=True)
--- a/godwitturn/tests/test_transparent_world.py
+++ b/godwitturn/tests/test_transparent_world.py
@@ -241,6 +241,25 @@
         self.request_all(clients)
         self.assertEqual([], [c for c in clients if c.resets])
 
+    def test_cut_between_two_data_centres_that_a_third_one_bridges(
+        self,
+    ) -> None:
+        far = self.world.start_vm("10.1.3.1", data_centre="b")
+        self.world.start_vm("10.1.4.1", data_centre="c")
+        self.world.start_balancer("10.0.3.1", data_centre="b", rotate=False)
+        self.world.start_balancer("10.0.4.1", data_centre="c", rotate=False)
+        self.world.run(1.0)
+        clients = self.open_flows(45)
+        assert far.target is not None
+        at_far = [c for c in clients if c.flow_id in far.target.flows]
+        self.assertNotEqual([], at_far)
+        for address in BALANCERS:
+            for other in ("10.1.3.1", "10.0.3.1"):
+                self.world.cut |= {(address, other), (other, address)}
+        self.world.run(2.0)
+        self.request_all(clients)
+        self.assert_served(clients, 1)
+
     def test_opening_whose_target_is_gone_is_offered_elsewhere(self) -> None:
         vm = self.world.vm_by_address[VMS[0]]
         vm.agent = None
