Search flows by their id instead of their packets

Change: agents are asked by the flow's id; only those that started after their target get the packet, to try it. A balancer counts as a relay only for agents that it has named.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -99,6 +99,9 @@
     _deliveries: collections.OrderedDict[int, Delivery] = attrs.field(
         factory=collections.OrderedDict
     )
+    _tried_by_id: collections.OrderedDict[segments.FlowId, str] = attrs.field(
+        factory=collections.OrderedDict
+    )
     _waiting: dict[segments.FlowId, WaitingOpening] = attrs.field(factory=dict)
     _tag: int = 0
     _swept_at: float = 0.0
@@ -200,9 +203,13 @@
                     delivery.segment,
                     messages.Refusal.DOWN,
                 )
+                continue
+            answer: messages.Message
+            if delivery.forward.search:
+                answer = messages.FlowAbsent(delivery.segment.flow_id)
             else:
-                missing = messages.FlowMissing(delivery.segment.data)
-                actions.append(messages.Send(delivery.balancer, missing))
+                answer = messages.FlowMissing(delivery.segment.data)
+            actions.append(messages.Send(delivery.balancer, answer))
         return actions
 
     def describe(self, *, now: float) -> dict[str, object]:
@@ -241,14 +248,7 @@
         if flow is not None:
             if flow.note_client(segment, balancer, now=now):
                 self.audience.changed = True
-            actions: list[messages.Action] = [
-                self._deliver(balancer, forward, segment, now=now)
-            ]
-            if forward.search and flow.accepted:
-                actions.append(
-                    messages.Send(balancer, messages.FlowHeld(segment.flow_id))
-                )
-            return actions
+            return [self._deliver(balancer, forward, segment, now=now)]
         if segment.opening:
             return self._admit(balancer, forward, segment, now=now)
         if (
@@ -256,13 +256,39 @@
             or forward.service != self.service
             or self.target.down
         ):
+            if forward.search:
+                absent = messages.FlowAbsent(segment.flow_id)
+                return [messages.Send(balancer, absent)]
             return [
                 messages.Send(balancer, messages.FlowMissing(segment.data))
             ]
         # The target may hold flows from before this agent started; it returns
         # packets of those that it doesn't hold.
+        self._tried_by_id[segment.flow_id] = balancer
+        if len(self._tried_by_id) > DELIVERIES_KEPT:
+            self._tried_by_id.popitem(last=False)
         return [self._deliver(balancer, forward, segment, now=now)]
 
+    def handle_query(
+        self, balancer: str, query: messages.FlowQuery, *, now: float
+    ) -> list[messages.Action]:
+        """Tells a balancer whether the target holds a flow."""
+        self.audience.meet(balancer, now=now)
+        flow_id = query.flow_id
+        flow = self.flows.flow_by_id.get(flow_id)
+        answer: messages.Message
+        if flow is not None and flow.accepted:
+            answer = messages.FlowHeld(flow_id)
+        elif flow is None and (
+            self.target.witnessed
+            or query.service != self.service
+            or self.target.down
+        ):
+            answer = messages.FlowAbsent(flow_id)
+        else:
+            answer = messages.FlowUnsure(flow_id)
+        return [messages.Send(balancer, answer)]
+
     def _admit(
         self,
         balancer: str,
@@ -410,7 +436,11 @@
             return self._returned(segment)
         flow = self.flows.flow_by_id.get(segment.flow_id)
         if flow is None:
-            flow = agent_flows.Flow("", now, accepted=not segment.accepting)
+            # Not accepted yet as far as the balancer knows that tried it.
+            balancer = self._tried_by_id.pop(segment.flow_id, "")
+            flow = agent_flows.Flow(
+                balancer, now, accepted=not (segment.accepting or balancer)
+            )
             if not segment.resetting:
                 self.flows.flow_by_id[segment.flow_id] = flow
         flow.used_at = now
@@ -463,11 +493,11 @@
         if flow is not None:
             del self.flows.flow_by_id[segment.flow_id]
             self.audience.changed = True
-        missing = messages.Send(delivery.balancer, messages.FlowMissing(data))
         if delivery.forward.search:
-            return [missing]
+            absent = messages.FlowAbsent(segment.flow_id)
+            return [messages.Send(delivery.balancer, absent)]
         return [
-            missing,
+            messages.Send(delivery.balancer, messages.FlowMissing(data)),
             messages.Record(
                 "flow_not_held",
                 {
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -440,7 +440,7 @@
                 return self._reset(segment, "flow_unknown")
             return []
         self.cache.search_by_id[segment.flow_id] = flow_cache.Search(
-            set(agents), now
+            set(agents), now, segment
         )
         self.count("searches")
         allowed = self._services_by_endpoint.get(segment.flow_id[2:], set())
@@ -457,11 +457,8 @@
             service = self._service_of(agent)
             if service not in allowed:
                 service = ""
-            actions.append(
-                messages.Send(
-                    agent, messages.Forward(service, True, segment.data)
-                )
-            )
+            query = messages.FlowQuery(segment.flow_id, service)
+            actions.append(messages.Send(agent, query))
         return actions
 
     def _uncertain(self, now: float) -> bool:
@@ -482,6 +479,18 @@
         match message:
             case messages.Announcement():
                 return self._announced(sender, message, now=now)
+            case messages.FlowAbsent(flow_id):
+                self.table.hear(sender, now=now)
+                return self._absent(sender, flow_id, now=now)
+            case messages.FlowUnsure(flow_id):
+                self.table.hear(sender, now=now)
+                search = self.cache.search_by_id.get(flow_id)
+                if search is None:
+                    return []
+                forward = messages.Forward(
+                    self._service_of(sender), True, search.segment.data
+                )
+                return [messages.Send(sender, forward)]
             case messages.FlowHeld():
                 return self._held(sender, message.flow_id, now=now)
             case messages.FlowsListed():
@@ -538,7 +547,7 @@
         )
         actions += [
             messages.Send(agent, messages.Forward(service, False, data))
-            for data in search.held
+            for data in (search.segment.data, *search.held)
         ]
         return actions
 
@@ -598,8 +607,14 @@
         if flow is not None and flow.agent == sender:
             self.cache.forget(segment.flow_id)
             return self._search(segment, frozenset({sender}), now=now)
-        search = self.cache.search_by_id.get(segment.flow_id)
-        if search is None or flow is not None:
+        return []
+
+    def _absent(
+        self, sender: str, flow_id: segments.FlowId, *, now: float
+    ) -> list[messages.Action]:
+        """Notes that a target doesn't hold a flow that is searched."""
+        search = self.cache.search_by_id.get(flow_id)
+        if search is None or flow_id in self.cache.flow_by_id:
             return []
         search.waiting.discard(sender)
         waiting = [
@@ -607,7 +622,7 @@
         ]
         if waiting or self._uncertain(now):
             return []
-        return self._reset(segment, "flow_unknown")
+        return self._reset(search.segment, "flow_unknown")
 
     def _announced(
         self,
--- a/godwitturn/core/transparent/flow_cache.py
+++ b/godwitturn/core/transparent/flow_cache.py
@@ -47,11 +47,13 @@
     Attributes:
         waiting: Agents that have not answered.
         started_at: When they were asked.
+        segment: The packet whose flow is searched.
         held: The flow's next packets, until its agent is known.
     """
 
     waiting: set[str]
     started_at: float
+    segment: segments.Segment
     held: list[bytes] = attrs.field(factory=list)
 
     def hold(self, data: bytes) -> None:
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -34,7 +34,7 @@
     Attributes:
         service: Name of the service that the flow belongs to, empty if the
             balancer doesn't know it.
-        search: Whether the balancer asks several agents who holds the flow.
+        search: Whether the balancer doesn't know if the flow is there.
         data: The packet.
     """
 
@@ -80,6 +80,42 @@
     data: bytes
 
 
+@attrs.define(frozen=True, repr=False)
+class FlowQuery:
+    """A balancer asks whether a target holds a flow.
+
+    Attributes:
+        flow_id: The flow.
+        service: Service that the flow's route has had, empty if it never had
+            that of the agent asked.
+    """
+
+    flow_id: segments.FlowId
+    service: str
+
+
+@attrs.define(frozen=True, repr=False)
+class FlowAbsent:
+    """The target beside the sender doesn't hold a flow.
+
+    Attributes:
+        flow_id: The flow.
+    """
+
+    flow_id: segments.FlowId
+
+
+@attrs.define(frozen=True, repr=False)
+class FlowUnsure:
+    """The sender would have to try a packet at its target.
+
+    Attributes:
+        flow_id: The flow.
+    """
+
+    flow_id: segments.FlowId
+
+
 @attrs.define(frozen=True, repr=False)
 class FlowHeld:
     """The target beside the sender holds a flow.
@@ -188,6 +224,9 @@
     | Relayed
     | Refused
     | FlowMissing
+    | FlowQuery
+    | FlowAbsent
+    | FlowUnsure
     | FlowHeld
     | FlowsListed
     | Announcement
--- a/godwitturn/core/transparent/peers.py
+++ b/godwitturn/core/transparent/peers.py
@@ -19,6 +19,7 @@
         heard_at: When it was last heard, or heard of.
         data_centre: Its data centre, empty until it says so.
         ready: Whether it takes new packets from routers.
+        agents: Agents that it has named.
         silent: Agents that it doesn't hear any more.
         listed_at: When all agents were last named to it.
     """
@@ -26,6 +27,7 @@
     heard_at: float
     data_centre: str = ""
     ready: bool = False
+    agents: set[str] = attrs.field(factory=set)
     silent: frozenset[str] = frozenset()
     listed_at: float = float("-inf")
 
@@ -59,6 +61,7 @@
             peer.heard_at = now
             peer.data_centre = status.data_centre
             peer.ready = status.ready
+            peer.agents.update(status.agents)
             peer.silent = frozenset(status.silent)
 
     def relay_to(
@@ -80,6 +83,7 @@
             if (
                 peer.data_centre
                 and peer.data_centre not in without
+                and agent in peer.agents
                 and agent not in peer.silent
                 and now - peer.heard_at < targets.LOST_S
             ):
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -144,6 +144,8 @@
                             sender, message, segment, now=now
                         )
                     )
+            case messages.FlowQuery():
+                self.perform(self.core.handle_query(sender, message, now=now))
             case messages.Greeting():
                 self.perform(
                     self.core.handle_greeting(sender, message, now=now)
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import segments
 
 _FORWARD = 1
 _REFUSED = 2
@@ -20,6 +21,9 @@
 _PEER_STATUS = 7
 _LISTED = 8
 _RELAYED = 9
+_QUERY = 10
+_ABSENT = 11
+_UNSURE = 12
 _ADDRESS_BYTES = 4
 
 # Kind, search flag, length of the service's name.
@@ -43,6 +47,12 @@
             return _REFUSED_HEADER.pack(_REFUSED, reason) + data
         case messages.FlowMissing(data):
             return bytes((_MISSING,)) + data
+        case messages.FlowQuery(flow_id, service):
+            return _HELD_BODY.pack(_QUERY, *flow_id) + service.encode()
+        case messages.FlowAbsent(flow_id):
+            return _HELD_BODY.pack(_ABSENT, *flow_id)
+        case messages.FlowUnsure(flow_id):
+            return _HELD_BODY.pack(_UNSURE, *flow_id)
         case messages.FlowHeld(flow_id):
             return _HELD_BODY.pack(_HELD, *flow_id)
         case messages.FlowsListed(flow_ids):
@@ -112,8 +122,15 @@
         case 3:
             return messages.FlowMissing(data[1:])
         case 4:
-            _, *flow_id = _HELD_BODY.unpack(data)
-            return messages.FlowHeld(tuple(flow_id))
+            return messages.FlowHeld(_flow_id(data))
+        case 10:
+            service = data[_HELD_BODY.size :].decode()
+            flow_id = _flow_id(data[: _HELD_BODY.size])
+            return messages.FlowQuery(flow_id, service)
+        case 11:
+            return messages.FlowAbsent(_flow_id(data))
+        case 12:
+            return messages.FlowUnsure(_flow_id(data))
         case 5:
             return _announcement(*json.loads(data[1:]))
         case 6:
@@ -138,6 +155,11 @@
     return None
 
 
+def _flow_id(data: bytes) -> segments.FlowId:
+    _, client, client_port, address, port = _HELD_BODY.unpack(data)
+    return client, client_port, address, port
+
+
 def _greeting(
     revision: Any,
     evacuated: Any,
--- a/godwitturn/standins/transparent_world.py
+++ b/godwitturn/standins/transparent_world.py
@@ -364,6 +364,9 @@
                     source, message, segment, now=self.now
                 )
                 self.perform(address, actions)
+            case messages.FlowQuery():
+                actions = vm.agent.handle_query(source, message, now=self.now)
+                self.perform(address, actions)
             case messages.Greeting():
                 actions = vm.agent.handle_greeting(
                     source, message, now=self.now
--- a/godwitturn/tests/test_graceful_stop.py
+++ b/godwitturn/tests/test_graceful_stop.py
@@ -57,10 +57,12 @@
         for address, data_centre, silent in (
             ("b1", "a", ()),
             ("b2", "b", ()),
+            ("b5", "c", ()),
             ("b3", "c", ("agent",)),
             ("b4", "d", ()),
         ):
-            status = messages.PeerStatus(0, (), data_centre, True, silent)
+            agents = () if address == "b5" else ("agent",)
+            status = messages.PeerStatus(0, agents, data_centre, True, silent)
             self.peers.hear(address, status, now=0.0)
         without = frozenset({"a", "b"})
 
--- a/godwitturn/tests/test_transparent_messages.py
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -13,6 +13,9 @@
     messages.Forward("", False, b""),
     messages.Refused(messages.Refusal.DRAINING, b"packet"),
     messages.FlowMissing(b"packet"),
+    messages.FlowQuery((1, 2, 3, 4), "core"),
+    messages.FlowAbsent((1, 2, 3, 4)),
+    messages.FlowUnsure((1, 2, 3, 4)),
     messages.FlowHeld((0xFFFFFFFF, 65535, 1, 443)),
     messages.Announcement(
         node="side-1",
