--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -1,8 +1,7 @@
 """Decisions of a balancer that forwards packets unchanged.
 
-The balancer keeps a cache of where flows are. A packet of a flow that it
-doesn't know is offered to the agents of the route's services, which know the
-flows of their targets; whoever holds the flow takes the packet and says so.
+The balancer keeps a cache of where flows are. It asks all agents about a flow
+that it doesn't know; they know the flows of their targets.
 """
 
 import zlib
