--- a/godwitturn/cli/deployment.py
+++ b/godwitturn/cli/deployment.py
@@ -9,9 +9,11 @@
 
 from godwitturn.cli import exit_codes
 from godwitturn.cli import output
+from godwitturn.core.transparent import mirror
 from godwitturn.daemons import metrics_page
 from godwitturn.platform import __main__ as starter
 from godwitturn.platform import settings as settings_module
+from godwitturn.platform import store
 
 ExitCode = exit_codes.ExitCode
 
@@ -116,19 +118,10 @@
         decoded = settings_module.decode(fields)
     except (OSError, ValueError, settings_module.SettingsError) as exc:
         return [f"{path}: {exc}"]
-    host, port = decoded.store
-    url = f"http://{host}:{port}/kv-range"
-    try:
-        answer = httpx.get(
-            url, params={"prefix": "op/config"}, timeout=TIMEOUT_S
-        )
-    except httpx.HTTPError as exc:
-        return [f"store at {host}:{port}: {exc or type(exc).__name__}"]
-    if answer.status_code != httpx.codes.OK:
-        return [
-            f"store at {host}:{port} answered {answer.status_code}; "
-            f"expected {int(httpx.codes.OK)}"
-        ]
+    result = store.read_once(decoded.store)
+    if isinstance(result, mirror.Failure):
+        host, port = decoded.store
+        return [f"store at {host}:{port}: {result.value}"]
     return []
 
 
--- a/godwitturn/platform/store.py
+++ b/godwitturn/platform/store.py
@@ -12,6 +12,8 @@
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
 from godwitturn.daemons import http_client
+from godwitturn.daemons import reactor
+from godwitturn.platform import documents
 
 # Answers take milliseconds; a slow store takes up to a quarter of a second.
 CALL_TIMEOUT_S = 1.0
@@ -68,6 +70,28 @@
         self._client.call(method, target, body, CALL_TIMEOUT_S, answered)
 
 
+def read_once(
+    address: tuple[str, int],
+) -> mirror.Page | mirror.Changes | mirror.Failure:
+    """Reads the operators' documents once, for checks; it blocks.
+
+    Args:
+        address: The store.
+    """
+    loop = reactor.Reactor()
+    client = http_client.HttpClient(loop, address)
+    results: list[mirror.Page | mirror.Changes | mirror.Failure] = []
+
+    def done(result: mirror.Page | mirror.Changes | mirror.Failure) -> None:
+        results.append(result)
+        loop.stopped = True
+
+    Store(client).read(mirror.ReadPage(documents.OPERATOR_PREFIX, ""), done)
+    loop.run()
+    client.close()
+    return results[0]
+
+
 def _quote(key: str) -> str:
     """Returns a key as it stands in a query."""
     if key.isascii() and key.replace("/", "").isalnum():
