--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+import zlib
 
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import agent_flows
@@ -168,6 +169,57 @@
     )
 
 
+def imbalance_by_hash(flows: int, target_count: int) -> float:
+    """Returns highest over mean if a hash alone chooses the targets."""
+    counts = [0] * target_count
+    for number in range(flows):
+        best = max(
+            range(target_count),
+            key=lambda target: zlib.crc32(b"%d/%d" % (number, target)),
+        )
+        counts[best] += 1
+    return max(counts) * target_count / flows
+
+
+def imbalance(flows: int, target_count: int, gap_s: float) -> float:
+    """Returns highest over mean with balancers and agents in simulated time.
+
+    Args:
+        flows: Flows opened.
+        target_count: Equal targets.
+        gap_s: Seconds between two openings.
+    """
+    world = transparent_world.World()
+    for number in range(target_count):
+        world.start_vm(address_of(number + 1), data_centre="abc"[number % 3])
+    for number in range(6):
+        world.start_balancer(
+            f"10.0.0.{number + 1}", data_centre="abc"[number % 3]
+        )
+    world.run(1.0)
+    for _ in range(flows):
+        world.open_flow()
+        world.run(gap_s)
+    world.run(2.0)
+    counts = [
+        len(vm.target.flows)
+        for vm in world.vm_by_address.values()
+        if vm.target is not None
+    ]
+    return max(counts) * target_count / sum(counts)
+
+
+def measure_imbalance() -> None:
+    """Prints how evenly flows are spread at the sizes of today."""
+    for flows, target_count in ((40, 7), (300, 7), (24, 3), (40, 4)):
+        print(
+            f"{flows} flows on {target_count} targets, highest over mean: "
+            f"hash {imbalance_by_hash(flows, target_count):.2f}, "
+            f"one by one {imbalance(flows, target_count, 0.01):.2f}, "
+            f"all at once {imbalance(flows, target_count, 0.0):.2f}"
+        )
+
+
 def start_ms(code: str) -> float:
     """Returns the least processor time of a process in milliseconds."""
     times = []
@@ -187,6 +239,7 @@
         measure_balancer(fleet)
     for flows in FLOWS:
         measure_agent(flows)
+    measure_imbalance()
     site = next(path for path in sys.path if path.endswith("site-packages"))
     for name in (
         "sys",
--- a/godwitturn/tests/test_transparent_world.py
+++ b/godwitturn/tests/test_transparent_world.py
@@ -72,6 +72,31 @@
         self.assertLess(max(counts) / 20, 1.25)
 
 
+class TestPlacementByManyBalancers(unittest.TestCase):
+    """Balancers don't see each other's choices at once."""
+
+    def test_six_balancers_in_three_data_centres(self) -> None:
+        world = transparent_world.World()
+        for number, address in enumerate(VMS):
+            world.start_vm(address, data_centre="abc"[number % 3])
+        for number in range(6):
+            world.start_balancer(
+                f"10.0.0.{number + 1}", data_centre="abc"[number % 3]
+            )
+        world.run(1.0)
+        for _ in range(40):
+            world.open_flow()
+            world.run(0.01)
+        world.run(1.0)
+        counts = [
+            len(vm.target.flows)
+            for vm in world.vm_by_address.values()
+            if vm.target is not None
+        ]
+        self.assertEqual(40, sum(counts))
+        self.assertLess(max(counts) / (40 / 7), 1.25)
+
+
 class TestPlannedChanges(WorldCase):
     """Flows survive planned changes."""
 
