--- a/godwitturn/cli/deployment.py
+++ b/godwitturn/cli/deployment.py
@@ -5,8 +5,6 @@
 import tomllib
 from typing import Any
 
-import httpx
-
 from godwitturn.cli import exit_codes
 from godwitturn.cli import output
 from godwitturn.core.transparent import mirror
@@ -136,6 +134,8 @@
         addresses: IP numbers of balancers and agents.
         json: Whether to print one JSON object.
     """
+    import httpx  # other subcommands don't need it
+
     printer = output.Output(json=json)
     if not addresses:
         return printer.failed(ExitCode.USAGE, ["no address; name one or more"])
