Keep resets of flows that a target doesn't hold from clients

Change: a reset of a flow that isn't in the agent's table stays with the agent, which tells the balancer that tried it; targets that haven't reported yet come last in the choice. Test: test_reset_by_a_target_that_was_only_tried_reaches_no_client failed with one reset before, and passes.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -435,14 +435,15 @@
         if segment.returned:
             return self._returned(segment)
         flow = self.flows.flow_by_id.get(segment.flow_id)
+        if flow is None and segment.resetting:
+            return self._reset_of_unknown_flow(segment)
         if flow is None:
             # Not accepted yet as far as the balancer knows that tried it.
             balancer = self._tried_by_id.pop(segment.flow_id, "")
             flow = agent_flows.Flow(
                 balancer, now, accepted=not (segment.accepting or balancer)
             )
-            if not segment.resetting:
-                self.flows.flow_by_id[segment.flow_id] = flow
+            self.flows.flow_by_id[segment.flow_id] = flow
         flow.used_at = now
         actions: list[messages.Action] = [
             messages.Answer(segment.flow_id, segment.data)
@@ -478,6 +479,20 @@
             self.audience.changed = True
         return actions
 
+    def _reset_of_unknown_flow(
+        self, segment: segments.Segment
+    ) -> list[messages.Action]:
+        """Keeps a reset from the client, whose flow may be elsewhere.
+
+        Targets also reset flows that they have refused. A client whose flow
+        has really ended is reset when no target holds it.
+        """
+        self.count("resets_of_unknown_flows")
+        balancer = self._tried_by_id.pop(segment.flow_id, None)
+        if balancer is None:
+            return []
+        return [messages.Send(balancer, messages.FlowAbsent(segment.flow_id))]
+
     def _returned(self, segment: segments.Segment) -> list[messages.Action]:
         delivery = self._deliveries.pop(segment.tag, None)
         if delivery is None:
--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -255,7 +255,9 @@
             ):
                 continue
             doubtful = (
-                target.silent_s(now) > SILENT_S or target.paused_until > now
+                target.silent_s(now) > SILENT_S
+                or target.paused_until > now
+                or target.announcement.state == messages.TargetState.UNKNOWN
             )
             ranked.append(
                 (
--- a/godwitturn/standins/transparent_world.py
+++ b/godwitturn/standins/transparent_world.py
@@ -99,6 +99,7 @@
         requests: Data packets that it took, by flow.
         openings: Times at which it took new flows.
         strangers: Packets of flows that it doesn't hold.
+        refused: Flows whose packets it answers with a reset.
         full: Whether it returns openings.
         draining: Whether it says that it leaves.
         cold_ms: How long it stays cold, as it says.
@@ -110,6 +111,7 @@
     requests: dict[segments.FlowId, int] = attrs.field(factory=dict)
     openings: list[float] = attrs.field(factory=list)
     strangers: int = 0
+    refused: set[segments.FlowId] = attrs.field(factory=set)
     full: bool = False
     draining: bool = False
     cold_ms: int = 0
@@ -120,6 +122,8 @@
         segment = packets.decode(data, from_target=False)
         assert segment is not None
         flow_id = segment.flow_id
+        if flow_id in self.refused and not segment.opening:
+            return [packet(flow_id, RST, from_target=True)]
         if segment.opening and not self.full:
             if flow_id not in self.flows:
                 self.openings.append(now)
--- a/godwitturn/tests/test_transparent_targets.py
+++ b/godwitturn/tests/test_transparent_targets.py
@@ -117,6 +117,13 @@
         self.assertEqual("a", self.choose(now=1.0, excluded=frozenset({"b"})))
         self.assertIsNone(self.choose(now=1.5, excluded=frozenset({"b"})))
 
+    def test_target_that_has_not_reported_yet_comes_last(self) -> None:
+        unknown = messages.TargetState.UNKNOWN
+        self.table.announce("a", announcement(state=unknown), now=0.0)
+        self.assertEqual("a", self.choose())
+        self.table.announce("b", announcement(flows=9), now=0.0)
+        self.assertEqual("b", self.choose())
+
     def test_cold_target_counts_as_loaded(self) -> None:
         self.table.announce("a", announcement(cold_ms=900), now=0.0)
         self.table.announce("b", announcement(flows=2), now=0.0)
--- a/godwitturn/tests/test_transparent_world.py
+++ b/godwitturn/tests/test_transparent_world.py
@@ -348,6 +348,36 @@
         self.world.run(0.5)
         self.assertEqual([], [c for c in clients if not c.resets])
 
+    def test_reset_by_a_target_that_was_only_tried_reaches_no_client(
+        self,
+    ) -> None:
+        """A target answers packets of a flow that it refused with a reset."""
+        client = self.open_flows(1)[0]
+        holder = next(
+            vm
+            for vm in self.world.vm_by_address.values()
+            if vm.target is not None and vm.target.flows
+        )
+        other = next(
+            vm for vm in self.world.vm_by_address.values() if vm is not holder
+        )
+        agent = self.world.start_agent(other)
+        assert other.target is not None
+        other.target.refused.add(client.flow_id)
+        for address in BALANCERS:
+            self.world.start_balancer(address)
+            self.world.balancer_by_address[address].cache.forget(
+                client.flow_id
+            )
+        for query_delay_s in (0.0, 0.1):
+            self.world.run(query_delay_s)
+            for node in self.world.balancer_by_address.values():
+                node.cache.forget(client.flow_id)
+            self.world.request(client)
+            self.world.run(0.1)
+        self.assertEqual(0, client.resets)
+        self.assertNotIn(client.flow_id, agent.flows.flow_by_id)
+
     def test_full_target_hands_openings_on(self) -> None:
         target = self.world.vm_by_address[VMS[0]].target
         assert target is not None
