--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -29,13 +29,13 @@
 
 @attrs.define(eq=False, repr=False)
 class Delivery:
-    """A packet given to the target that may come back.
+    """A packet that the target got, or an opening that waits for it.
 
     Attributes:
         balancer: Who forwarded it.
         forward: What it forwarded.
         segment: The packet.
-        at: When the target got it.
+        at: When the target got it, or since when it waits.
     """
 
     balancer: str
@@ -44,21 +44,13 @@
     at: float
 
 
-@attrs.define(eq=False, repr=False)
-class WaitingOpening:
-    """An opening that waits until a cold target may take it.
-
-    Attributes:
-        balancer: Who forwarded it.
-        forward: What it forwarded.
-        segment: The packet.
-        since: When it came.
-    """
-
-    balancer: str
-    forward: messages.Forward
-    segment: segments.Segment
-    since: float
+def _absence(
+    balancer: str, forward: messages.Forward, segment: segments.Segment
+) -> messages.Send:
+    """Tells a balancer that the target doesn't hold a packet's flow."""
+    if forward.search:
+        return messages.Send(balancer, messages.FlowAbsent(segment.flow_id))
+    return messages.Send(balancer, messages.FlowMissing(segment.data))
 
 
 @attrs.define(eq=False, repr=False)
@@ -102,7 +94,7 @@
     _tried_by_id: collections.OrderedDict[segments.FlowId, str] = attrs.field(
         factory=collections.OrderedDict
     )
-    _waiting: dict[segments.FlowId, WaitingOpening] = attrs.field(factory=dict)
+    _waiting: dict[segments.FlowId, Delivery] = attrs.field(factory=dict)
     _tag: int = 0
     _swept_at: float = 0.0
 
@@ -204,12 +196,9 @@
                     messages.Refusal.DOWN,
                 )
                 continue
-            answer: messages.Message
-            if delivery.forward.search:
-                answer = messages.FlowAbsent(delivery.segment.flow_id)
-            else:
-                answer = messages.FlowMissing(delivery.segment.data)
-            actions.append(messages.Send(delivery.balancer, answer))
+            actions.append(
+                _absence(delivery.balancer, delivery.forward, delivery.segment)
+            )
         return actions
 
     def describe(self, *, now: float) -> dict[str, object]:
@@ -251,17 +240,8 @@
             return [self._deliver(balancer, forward, segment, now=now)]
         if segment.opening:
             return self._admit(balancer, forward, segment, now=now)
-        if (
-            self.target.witnessed
-            or forward.service != self.service
-            or self.target.down
-        ):
-            if forward.search:
-                absent = messages.FlowAbsent(segment.flow_id)
-                return [messages.Send(balancer, absent)]
-            return [
-                messages.Send(balancer, messages.FlowMissing(segment.data))
-            ]
+        if self._knows_all_flows_of(forward.service):
+            return [_absence(balancer, forward, segment)]
         # The target may hold flows from before this agent started; it returns
         # packets of those that it doesn't hold.
         self._tried_by_id[segment.flow_id] = balancer
@@ -269,6 +249,14 @@
             self._tried_by_id.popitem(last=False)
         return [self._deliver(balancer, forward, segment, now=now)]
 
+    def _knows_all_flows_of(self, service: str) -> bool:
+        """Returns whether the target can hold no flow unknown to the agent."""
+        return (
+            self.target.witnessed
+            or service != self.service
+            or self.target.down
+        )
+
     def handle_query(
         self, balancer: str, query: messages.FlowQuery, *, now: float
     ) -> list[messages.Action]:
@@ -279,11 +267,7 @@
         answer: messages.Message
         if flow is not None and flow.accepted:
             answer = messages.FlowHeld(flow_id)
-        elif flow is None and (
-            self.target.witnessed
-            or query.service != self.service
-            or self.target.down
-        ):
+        elif flow is None and self._knows_all_flows_of(query.service):
             answer = messages.FlowAbsent(flow_id)
         else:
             answer = messages.FlowUnsure(flow_id)
@@ -336,7 +320,7 @@
             return []
         if len(self._waiting) >= self.cold.max_waiting:
             return self._refuse(balancer, segment, messages.Refusal.COLD)
-        self._waiting[segment.flow_id] = WaitingOpening(
+        self._waiting[segment.flow_id] = Delivery(
             balancer, forward, segment, now
         )
         self.audience.changed = True
@@ -360,7 +344,7 @@
         for flow_id, opening in list(self._waiting.items()):
             refused = self._refusal(opening.forward) is not None
             may_pass = self.target.cold_ms(now) <= 0 or self.cold.room(now=now)
-            late = now - opening.since > cold_limit.MAX_WAIT_S
+            late = now - opening.at > cold_limit.MAX_WAIT_S
             if not (refused or may_pass or late):
                 break
             del self._waiting[flow_id]
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -236,9 +236,7 @@
             return self._reset(segment, "target_lost", agent=flow.agent)
         flow.established = True
         flow.acknowledged = segment.acknowledged
-        forward = messages.Forward(
-            self._service_of(flow.agent), False, segment.data
-        )
+        forward = self._forward(flow.agent, segment)
         relay = self._relay_to(flow.agent, now=now)
         if relay is not None:
             self.count("relayed")
@@ -263,6 +261,12 @@
             now=now,
         )
 
+    def _forward(
+        self, agent: str, segment: segments.Segment
+    ) -> messages.Forward:
+        """Returns a packet of a flow that an agent's target holds."""
+        return messages.Forward(self._service_of(agent), False, segment.data)
+
     def _service_of(self, agent: str) -> str:
         target = self.table.target_by_address.get(agent)
         return target.service if target else ""
@@ -286,14 +290,8 @@
         if flow is not None:
             answered_in_time = now - flow.sent_at < OPENING_ANSWER_S
             if flow.accepted or answered_in_time:
-                return [
-                    messages.Send(
-                        flow.agent,
-                        messages.Forward(
-                            self._service_of(flow.agent), False, segment.data
-                        ),
-                    )
-                ]
+                forward = self._forward(flow.agent, segment)
+                return [messages.Send(flow.agent, forward)]
         return self._offer(segment, flow, now=now)
 
     def _offer(
--- a/godwitturn/platform/packets.py
+++ b/godwitturn/platform/packets.py
@@ -8,7 +8,6 @@
 # address, echo, sequence, acknowledgement, checksum, flags, padding, length.
 _HEADER = struct.Struct("<HIHIIIIIBBH")
 _ECHO_OFFSET = 12
-_FLAGS_OFFSET = 28
 _U32 = struct.Struct("<I")
 # The checksum of a reset that the system makes is 0; its key is the clients'.
 _NO_CHECKSUM = 0
--- a/godwitturn/platform/store.py
+++ b/godwitturn/platform/store.py
@@ -23,7 +23,6 @@
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
-_REFUSED = frozenset({403, 429, 503})
 
 
 class Store:
