--- a/godwitturn/daemons/http_client.py
+++ b/godwitturn/daemons/http_client.py
@@ -5,7 +5,7 @@
 import selectors
 import socket
 
-import h11
+import httptools
 
 from godwitturn.daemons import reactor
 
@@ -27,12 +27,14 @@
         self._loop = loop
         self._address = address
         self._socket: socket.socket | None = None
-        self._protocol: h11.Connection | None = None
+        self._parser: httptools.HttpResponseParser | None = None
         self._done: Done | None = None
         self._timer: reactor.Timer | None = None
         self._output = b""
-        self._status: int | None = None
         self._body: list[bytes] = []
+        self._sized = False
+        self._complete = False
+        self._keep = False
 
     def call(
         self,
@@ -53,32 +55,26 @@
                 came, and then the call may have been executed.
         """
         self._done = done
-        self._status = None
         self._body = []
+        self._sized = False
+        self._complete = False
         self._timer = self._loop.call_later(timeout_s, self._fail)
         try:
             self._send(method, target, body)
-        except (OSError, h11.ProtocolError):
+        except OSError:
             self._loop.call_later(0.0, self._fail)
 
     def _send(self, method: str, target: str, body: bytes) -> None:
         if self._socket is None:
             self._connect()
-        assert self._protocol is not None
         host, port = self._address
-        headers = [("Host", f"{host}:{port}")]
+        head = f"{method} {target} HTTP/1.1\r\nHost: {host}:{port}\r\n"
         if body:
-            headers += [
-                ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))),
-            ]
-        elif method != "GET":
-            headers.append(("Content-Length", "0"))
-        request = h11.Request(method=method, target=target, headers=headers)
-        self._output = self._protocol.send(request) or b""
-        if body:
-            self._output += self._protocol.send(h11.Data(data=body)) or b""
-        self._output += self._protocol.send(h11.EndOfMessage()) or b""
+            head += "Content-Type: application/json\r\n"
+        if body or method != "GET":
+            head += f"Content-Length: {len(body)}\r\n"
+        self._output = head.encode("ascii") + b"\r\n" + body
+        self._parser = httptools.HttpResponseParser(self)
         self._watch(selectors.EVENT_READ | selectors.EVENT_WRITE)
 
     def _connect(self) -> None:
@@ -91,7 +87,6 @@
         sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
         self._socket = sock
-        self._protocol = h11.Connection(h11.CLIENT)
         error = sock.connect_ex(self._address)
         if error not in (0, errno.EINPROGRESS):
             raise OSError(error, "connect")
@@ -105,7 +100,7 @@
             if self._output:
                 self._write()
             self._read()
-        except (OSError, h11.ProtocolError):
+        except (OSError, httptools.HttpParserError):
             self._fail()
 
     def _write(self) -> None:
@@ -119,38 +114,51 @@
             self._watch(selectors.EVENT_READ)
 
     def _read(self) -> None:
-        assert self._socket is not None and self._protocol is not None
+        assert self._socket is not None
         try:
             data = self._socket.recv(READ_BYTES)
         except BlockingIOError:
             return
-        self._protocol.receive_data(data)
-        while True:
-            event = self._protocol.next_event()
-            match event:
-                case h11.Response():
-                    self._status = event.status_code
-                case h11.Data():
-                    self._body.append(bytes(event.data))
-                case h11.EndOfMessage():
-                    self._finish()
-                    return
-                case h11.ConnectionClosed():
-                    self._fail()
-                    return
-                case _ if event is h11.NEED_DATA:
-                    return
-
-    def _finish(self) -> None:
-        assert self._protocol is not None
-        if self._protocol.our_state is h11.MUST_CLOSE:
-            self.close()
+        if not data:
+            self._ended()
+            return
+        if self._parser is None:
+            raise ConnectionError("answer without a call")
+        self._parser.feed_data(data)
+        if self._complete:
+            self._finish(keep=self._keep)
+
+    def _ended(self) -> None:
+        """Takes the end of the connection, which may end an answer."""
+        if self._body and not self._sized:
+            self._finish(keep=False)
         else:
-            try:
-                self._protocol.start_next_cycle()
-            except h11.ProtocolError:
-                self.close()
-        self._report(self._status, b"".join(self._body))
+            self._fail()
+
+    # Called by the parser.
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Notes whether the answer tells where it ends."""
+        if name.lower() in (b"content-length", b"transfer-encoding"):
+            self._sized = True
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the answer's body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Notes that the answer is complete."""
+        assert self._parser is not None
+        self._complete = True
+        self._keep = self._parser.should_keep_alive()
+
+    def _finish(self, *, keep: bool) -> None:
+        assert self._parser is not None
+        status = self._parser.get_status_code()
+        self._parser = None
+        if not keep:
+            self.close()
+        self._report(status, b"".join(self._body))
 
     def _fail(self) -> None:
         self.close()
@@ -179,5 +187,5 @@
             self._loop.unwatch(self._socket)
             self._socket.close()
         self._socket = None
-        self._protocol = None
+        self._parser = None
         self._output = b""
--- a/godwitturn/daemons/http_server.py
+++ b/godwitturn/daemons/http_server.py
@@ -4,13 +4,14 @@
 import selectors
 import socket
 
-import h11
+import httptools
 
 from godwitturn.daemons import reactor
 
 BACKLOG = 64
 MAX_CONNECTIONS = 128
-MAX_BODY_BYTES = 65536
+# What a request may take with its headers.
+MAX_REQUEST_BYTES = 81920
 IDLE_S = 30.0
 READ_BYTES = 65536
 
@@ -68,10 +69,13 @@
     def __init__(self, server: HttpServer, sock: socket.socket) -> None:
         self._server = server
         self._socket = sock
-        self._protocol = h11.Connection(h11.SERVER)
+        self._parser = httptools.HttpRequestParser(self)
         self._output = b""
-        self._request: h11.Request | None = None
+        self._target = b""
         self._body = b""
+        self._complete: list[tuple[str, str, bytes, bool]] = []
+        self._unanswered_bytes = 0
+        self._closing = False
         self._timer = server.loop.call_later(IDLE_S, self.close)
         server.loop.watch(sock, selectors.EVENT_READ, self._ready)
 
@@ -86,64 +90,66 @@
         try:
             if self._output:
                 self._flush()
-            self._read()
-        except (OSError, h11.ProtocolError):
+            if not self._closing:
+                self._read()
+        except (OSError, httptools.HttpParserError):
             self.close()
+        except httptools.HttpParserUpgrade:
+            self.close()  # other protocols aren't spoken here
 
     def _read(self) -> None:
         try:
             data = self._socket.recv(READ_BYTES)
         except BlockingIOError:
             return
-        self._protocol.receive_data(data)
-        while True:
-            event = self._protocol.next_event()
-            match event:
-                case h11.Request():
-                    self._request = event
-                    self._body = b""
-                case h11.Data():
-                    self._body += bytes(event.data)
-                    if len(self._body) > MAX_BODY_BYTES:
-                        self.close()
-                        return
-                case h11.EndOfMessage():
-                    if not self._answer():
-                        return
-                case h11.ConnectionClosed():
-                    self.close()
-                    return
-                case _:
-                    return
-
-    def _answer(self) -> bool:
-        """Answers the request; returns whether another one may follow."""
-        assert self._request is not None
-        status, body = self._server.handler(
-            self._request.method.decode(),
-            self._request.target.decode(),
-            self._body,
-        )
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-        ]
-        protocol = self._protocol
-        self._output += (
-            protocol.send(h11.Response(status_code=status, headers=headers))
-            or b""
+        if not data:
+            self.close()
+            return
+        self._unanswered_bytes += len(data)
+        if self._unanswered_bytes > MAX_REQUEST_BYTES:
+            self.close()
+            return
+        self._parser.feed_data(data)
+        complete, self._complete = self._complete, []
+        for request in complete:
+            self._answer(*request)
+        if complete:
+            self._flush()
+
+    # Called by the parser.
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a part of the request's target."""
+        self._target += url
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the request's body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Notes that the request is complete."""
+        method = self._parser.get_method().decode("ascii")
+        target = self._target.decode("latin-1")
+        keep = self._parser.should_keep_alive()
+        self._complete.append((method, target, self._body, keep))
+        self._target = self._body = b""
+
+    def _answer(
+        self, method: str, target: str, body: bytes, keep: bool
+    ) -> None:
+        self._closing = not keep
+        status, body = self._server.handler(method, target, body)
+        self._unanswered_bytes = 0
+        head = (
+            f"HTTP/1.1 {status} \r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n"
         )
-        if body:
-            self._output += protocol.send(h11.Data(data=body)) or b""
-        self._output += protocol.send(h11.EndOfMessage()) or b""
-        self._flush()
+        if self._closing:
+            head += "Connection: close\r\n"
+        self._output += head.encode("ascii") + b"\r\n" + body
         self._timer.cancel()
         self._timer = self._server.loop.call_later(IDLE_S, self.close)
-        if protocol.our_state is h11.MUST_CLOSE:
-            self.close()
-            return False
-        protocol.start_next_cycle()
-        return True
 
     def _flush(self) -> None:
         try:
@@ -151,6 +157,9 @@
             self._output = self._output[sent:]
         except BlockingIOError:
             pass  # sent when the socket is writable again
+        if self._closing and not self._output:
+            self.close()
+            return
         events = selectors.EVENT_READ
         if self._output:
             events |= selectors.EVENT_WRITE
--- a/godwitturn/platform/settings.py
+++ b/godwitturn/platform/settings.py
@@ -55,7 +55,7 @@
     grace_s: float
 
 
-NAMES = tuple(field.name for field in attrs.fields(Settings))
+NAMES = Settings.__match_args__
 
 
 def load() -> Settings:
--- a/godwitturn/tests/test_platform_programs.py
+++ b/godwitturn/tests/test_platform_programs.py
@@ -16,6 +16,7 @@
 from typing import Any
 import unittest
 
+from godwitturn import bytecode
 from godwitturn.daemons import metrics_page
 from godwitturn.platform import documents
 from godwitturn.platform import packets
@@ -67,7 +68,24 @@
 
 
 class ProgramCase(unittest.TestCase):
-    """A store, a balancer, an agent and a target."""
+    """A store, a balancer, an agent and a target.
+
+    Attributes:
+        program: Words that start a program, without its role.
+    """
+
+    program: tuple[str, ...] = ()
+    _compiled: tempfile.TemporaryDirectory[str]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        if not cls.program:
+            cls._compiled = tempfile.TemporaryDirectory()
+            cls.addClassCleanup(cls._compiled.cleanup)
+            directory = pathlib.Path(cls._compiled.name)
+            bytecode.build(directory)
+            cls.program = (str(directory / bytecode.ENTRY_NAME),)
 
     def setUp(self) -> None:
         subnet = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}"
@@ -139,7 +157,7 @@
         path.write_text(json.dumps(fields))
         log = (path.parent / f"{role}.log").open("ab")
         process = subprocess.Popen(
-            [sys.executable, "-m", "godwitturn.platform", role],
+            [sys.executable, *self.program, role],
             env={**os.environ, "GODWITTURN_CONFIG": str(path)},
             stdout=log,
         )
@@ -244,6 +262,19 @@
         self.assertTrue(segment.resetting)
 
 
+class TestSources(ProgramCase):
+    """The programs run from their sources, as on a developer's machine."""
+
+    program = ("-m", "godwitturn.platform")
+
+    def test_request_is_answered(self) -> None:
+        self.start_both()
+        self.beat()
+        self.open_flow()
+        segment = self.exchange(transparent_world.ACK, b"request")
+        self.assertTrue(segment.data.endswith(b"answer"))
+
+
 class TestStop(ProgramCase):
     """SIGTERM."""
 
