Record long flows in the store, and reset them after a loss of power

No daemon remembers flows over a loss of power.

Change: an agent writes its target's flows that are older than 2 s to the store, under its lease, at most every 4 s and 10 times a second for the whole fleet. The agent that starts again reads the record and resets those flows when a later start of the target reports. A heartbeat of an earlier start, of the same start or of another service resets nothing.

Ruled out: resets by balancers, which know no flow after a restart; writing each new flow (thousands of calls a second at the size to come).

--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -143,7 +143,7 @@
     node.handle_heartbeat(beat, now=NOW)
     for number in range(flows):
         node.flows.flow_by_id[flow_of(number)] = agent_flows.Flow(
-            "10.0.0.1", NOW, accepted=True
+            "10.0.0.1", NOW, NOW, accepted=True
         )
 
     def request(index: int) -> None:
--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -12,6 +12,7 @@
 from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import audience as audiences
 from godwitturn.core.transparent import cold_limit
+from godwitturn.core.transparent import flow_record
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import relay as relays
@@ -70,6 +71,7 @@
         revision: Store revision that `evacuated` comes from.
         registration_missing: Whether a balancer lacks the agent's entry.
         relay: Copy of the operators' documents, kept for balancers.
+        recorder: Record of long flows, kept for the next run.
         counts: Counters by name.
     """
 
@@ -87,6 +89,9 @@
     relay: relays.Relay = attrs.field(
         factory=lambda: relays.Relay(interval_s=COPY_INTERVAL_S)
     )
+    recorder: flow_record.FlowRecorder = attrs.field(
+        factory=flow_record.FlowRecorder
+    )
     counts: dict[str, int] = attrs.field(factory=dict)
     _deliveries: collections.OrderedDict[int, Delivery] = attrs.field(
         factory=collections.OrderedDict
@@ -136,6 +141,7 @@
                 },
             ),
             *self.announce(now=now),
+            *self.recorder.resets(heartbeat, self.flows.flow_by_id),
         ]
 
     def handle_departure(
@@ -201,6 +207,23 @@
             )
         return actions
 
+    def take_earlier_record(
+        self, record: flow_record.FlowRecord | None
+    ) -> list[messages.Action]:
+        """Takes the record of flows that an earlier run of the agent left."""
+        return self.recorder.take_earlier(
+            record, self.target.heartbeat, self.flows.flow_by_id
+        )
+
+    def next_record(self, *, now: float) -> flow_record.FlowRecord | None:
+        """Returns the record of flows to write now, None if none is due."""
+        return self.recorder.next_record(
+            self.target.heartbeat,
+            self.flows.flow_by_id,
+            agents=self.audience.agents,
+            now=now,
+        )
+
     def describe(self, *, now: float) -> dict[str, object]:
         """Returns what this agent believes, for operators."""
         target = self.target
@@ -288,7 +311,7 @@
             return self._wait(balancer, forward, segment, now=now)
         self._waiting.pop(segment.flow_id, None)
         self.flows.flow_by_id[segment.flow_id] = agent_flows.Flow(
-            balancer, now
+            balancer, now, now
         )
         self.audience.changed = True
         return [
@@ -425,7 +448,10 @@
             # Not accepted yet as far as the balancer knows that tried it.
             balancer = self._tried_by_id.pop(segment.flow_id, "")
             flow = agent_flows.Flow(
-                balancer, now, accepted=not (segment.accepting or balancer)
+                balancer,
+                now,
+                now,
+                accepted=not (segment.accepting or balancer),
             )
             self.flows.flow_by_id[segment.flow_id] = flow
         flow.used_at = now
--- a/godwitturn/core/transparent/agent_flows.py
+++ b/godwitturn/core/transparent/agent_flows.py
@@ -16,6 +16,7 @@
 
     Attributes:
         balancer: Balancer that last forwarded a packet of it.
+        opened_at: When the agent learnt of it.
         used_at: When its last packet passed.
         accepted: Whether the target has accepted the opening.
         waiting: Whether a request has no answer yet.
@@ -23,9 +24,11 @@
         told: Whether other balancers were told of the flow.
         client_ended: Whether the client has sent everything.
         target_ended: Whether the target has sent everything.
+        acknowledged: What the client's last packet acknowledged.
     """
 
     balancer: str
+    opened_at: float
     used_at: float
     accepted: bool = False
     waiting: bool = False
@@ -33,6 +36,7 @@
     told: bool = False
     client_ended: bool = False
     target_ended: bool = False
+    acknowledged: int = 0
 
     @property
     def closing(self) -> bool:
@@ -51,6 +55,7 @@
         """Notes a client's packet; returns whether the load changed."""
         self.balancer = balancer
         self.used_at = now
+        self.acknowledged = segment.acknowledged
         if segment.size and not self.waiting:
             self.waiting = True
             self.asked_at = now
--- a/godwitturn/core/transparent/catalogue.py
+++ b/godwitturn/core/transparent/catalogue.py
@@ -36,4 +36,6 @@
     "flow_found": 642,
     "flow_not_held": 643,
     "flow_reset": 644,
+    "recorded_flows_reset": 645,
+    "flow_record_not_read": 646,
 }
--- /dev/null
+++ b/godwitturn/core/transparent/flow_record.py
@@ -0,0 +1,196 @@
+"""An agent's record of its target's long flows, kept in the platform's store.
+
+Pattern: a VM loses power, and the flows of its target are gone. Their clients
+notice with the next request, and one that may run only once is lost then. The
+agent that starts on the VM again reads the record and resets those flows
+while they are idle, once another start of the target reports.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+from godwitturn.core.transparent import agent_flows
+from godwitturn.core.transparent import heartbeats
+from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import segments
+
+# Flows of a single request have ended by then.
+MIN_AGE_S = 2.0
+# Flows opened since the last record aren't reset; writing more often costs
+# more calls to the store than those flows are worth.
+MIN_INTERVAL_S = 4.0
+# Records of all agents together; the store takes some hundred writes a second.
+RECORDS_PER_SECOND = 10.0
+# 16 bytes each, so that a record stays below 64 KiB.
+MAX_FLOWS = 4000
+# Clients accept a reset whose number is up to 76,800 from theirs. A record
+# that is older than half of that is written anew.
+MAX_DRIFT = 38_400
+# A store that doesn't answer these many times is away; by the time it is
+# back, clients have noticed themselves.
+READ_ATTEMPTS = 5
+READ_INTERVAL_S = 0.5
+_SEQUENCE_MODULUS = 1 << 32
+
+
+@attrs.define(frozen=True, repr=False)
+class FlowRecord:
+    """Flows that a target held.
+
+    Attributes:
+        service: Service of the target.
+        target_id: Id of the target.
+        born: When it started, as it said.
+        acknowledged_by_id: What the client of each flow acknowledged last.
+    """
+
+    service: str
+    target_id: str
+    born: int
+    acknowledged_by_id: dict[segments.FlowId, int]
+
+
+def _drift(later: int, earlier: int) -> int:
+    """Returns how far a sequence number has gone on."""
+    return (later - earlier) % _SEQUENCE_MODULUS
+
+
+@attrs.define(eq=False, repr=False)
+class FlowRecorder:
+    """Decides when to write the record, and what an older one means.
+
+    Attributes:
+        attempts: How often reading the older record has been tried.
+        settled: Whether the older record was read, or given up.
+    """
+
+    attempts: int = 0
+    settled: bool = False
+    _earlier: FlowRecord | None = None
+    _written: FlowRecord | None = None
+    _due_at: float = 0.0
+
+    def may_read_again(self) -> bool:
+        """Counts a failed attempt to read; returns whether to try again."""
+        self.attempts += 1
+        self.settled = self.attempts >= READ_ATTEMPTS
+        return not self.settled
+
+    def take_earlier(
+        self,
+        record: FlowRecord | None,
+        heartbeat: heartbeats.Heartbeat | None,
+        flow_by_id: Mapping[segments.FlowId, agent_flows.Flow],
+    ) -> list[messages.Action]:
+        """Takes the record that an earlier run of the agent left.
+
+        Args:
+            record: The record, None if there is none.
+            heartbeat: The target's newest heartbeat, None if none came.
+            flow_by_id: Flows that the target holds.
+
+        Returns:
+            Resets, if the target is known to be another one already.
+        """
+        self.settled = True
+        self._earlier = record
+        return self.resets(heartbeat, flow_by_id)
+
+    def resets(
+        self,
+        heartbeat: heartbeats.Heartbeat | None,
+        flow_by_id: Mapping[segments.FlowId, agent_flows.Flow],
+    ) -> list[messages.Action]:
+        """Returns resets of recorded flows whose target is gone.
+
+        A heartbeat of an earlier start may arrive late, so only a later start
+        than that of the record shows that its target is gone.
+        """
+        record = self._earlier
+        if record is None or heartbeat is None:
+            return []
+        same = (heartbeat.target_id, heartbeat.born) == (
+            record.target_id,
+            record.born,
+        )
+        if same or heartbeat.service != record.service:
+            self._earlier = None
+            return []
+        if heartbeat.born <= record.born:
+            return []
+        self._earlier = None
+        gone = {
+            flow_id: acknowledged
+            for flow_id, acknowledged in record.acknowledged_by_id.items()
+            if flow_id not in flow_by_id
+        }
+        actions: list[messages.Action] = [
+            messages.Record(
+                "recorded_flows_reset",
+                {
+                    "flows": len(gone),
+                    "earlier": f"{record.target_id}/{record.born}",
+                    "incarnation": f"{heartbeat.target_id}/{heartbeat.born}",
+                },
+            )
+        ]
+        actions += [
+            messages.Reset(flow_id, acknowledged)
+            for flow_id, acknowledged in gone.items()
+        ]
+        return actions
+
+    def next_record(
+        self,
+        heartbeat: heartbeats.Heartbeat | None,
+        flow_by_id: Mapping[segments.FlowId, agent_flows.Flow],
+        *,
+        agents: int,
+        now: float,
+    ) -> FlowRecord | None:
+        """Returns the record to write now, None if none is due.
+
+        Args:
+            heartbeat: The target's newest heartbeat, None if none came.
+            flow_by_id: Flows that the target holds.
+            agents: Agents of the fleet.
+            now: Seconds.
+        """
+        if not self.settled or heartbeat is None or now < self._due_at:
+            return None
+        self._due_at = now + max(MIN_INTERVAL_S, agents / RECORDS_PER_SECOND)
+        long_flows = (
+            (flow_id, flow.acknowledged)
+            for flow_id, flow in flow_by_id.items()
+            if flow.accepted
+            and not flow.closing
+            and now - flow.opened_at >= MIN_AGE_S
+        )
+        record = FlowRecord(
+            heartbeat.service,
+            heartbeat.target_id,
+            heartbeat.born,
+            dict(sorted(long_flows)[:MAX_FLOWS]),
+        )
+        return record if self._outdated(record) else None
+
+    def _outdated(self, record: FlowRecord) -> bool:
+        """Returns whether a record differs enough from the one written."""
+        written = self._written
+        if written is None:
+            return bool(record.acknowledged_by_id)
+        if (written.target_id, written.born) != (
+            record.target_id,
+            record.born,
+        ):
+            return True
+        known = written.acknowledged_by_id
+        return known.keys() != record.acknowledged_by_id.keys() or any(
+            _drift(acknowledged, known[flow_id]) > MAX_DRIFT
+            for flow_id, acknowledged in record.acknowledged_by_id.items()
+        )
+
+    def note_written(self, record: FlowRecord) -> None:
+        """Notes that the store holds a record."""
+        self._written = record
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -3,7 +3,9 @@
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import audience as audiences
 from godwitturn.core.transparent import cold_limit
+from godwitturn.core.transparent import flow_record
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
 from godwitturn.core.transparent import relay
 from godwitturn.core.transparent import target_watch
@@ -16,6 +18,7 @@
 from godwitturn.platform import program
 from godwitturn.platform import settings as settings_module
 from godwitturn.platform import store
+from godwitturn.protocol import flow_record as flow_records
 
 # The store answers within milliseconds; entries lapse with their lease anyway.
 STOP_WAIT_S = 0.5
@@ -63,8 +66,11 @@
         self.store_client = http_client.HttpClient(self.loop, settings.store)
         self.store = store.Store(self.store_client)
         self.store_busy = False
+        self.record_key = documents.FLOW_RECORD_PREFIX + settings.address
+        self.record_client = http_client.HttpClient(self.loop, settings.store)
         for seed in settings.seeds:
             self.core.audience.meet(seed, now=self.loop.now)
+        self.read_flow_record()
         self.perform(self.core.announce(now=self.loop.now))
         self.register()
 
@@ -72,6 +78,7 @@
         """Puts changed settings in force."""
         super().settings_changed(settings)
         self.store_client.move(settings.store)
+        self.record_client.move(settings.store)
         self.core.cold.overshoot = settings.cold_overshoot
         self.core.cold.slack = settings.cold_slack
         if settings.target is not None:
@@ -114,6 +121,75 @@
 
         self.store.write(call, done)
 
+    def read_flow_record(self) -> None:
+        """Reads the record of flows that an earlier run left in the store."""
+
+        def done(
+            result: mirror.Page | mirror.Changes | mirror.Failure,
+        ) -> None:
+            if isinstance(result, mirror.Failure):
+                self.record(
+                    "flow_record_not_read",
+                    reason=result.value,
+                    attempt=self.core.recorder.attempts + 1,
+                )
+                if self.core.recorder.may_read_again():
+                    self.loop.call_later(
+                        flow_record.READ_INTERVAL_S, self.read_flow_record
+                    )
+                else:
+                    self.record_client.close()
+                return
+            self.record_client.close()
+            self.perform(
+                self.core.take_earlier_record(self._flow_record(result.items))
+            )
+
+        store.Store(self.record_client).read(
+            mirror.ReadPage(self.record_key, ""), done
+        )
+
+    def _flow_record(
+        self, items: tuple[mirror.Item, ...]
+    ) -> flow_record.FlowRecord | None:
+        """Returns the record among items of the store, if it is there."""
+        for item in items:
+            if item.key == self.record_key and item.value is not None:
+                record = flow_records.decode(item.value)
+                if record is None:
+                    self.record(
+                        "malformed_document", key=item.key, error="flows"
+                    )
+                return record
+        return None
+
+    def write_flow_record(self) -> None:
+        """Writes the record of flows, if that is due."""
+        if self.store_busy or not self.registration.written:
+            return
+        record = self.core.next_record(now=self.loop.now)
+        if record is None:
+            return
+        call = registration.PutEntry(
+            self.record_key,
+            flow_records.encode(record),
+            self.registration.lease,
+        )
+        self.store_busy = True
+
+        def done(result: registration.Granted | registration.Outcome) -> None:
+            self.store_busy = False
+            if result == registration.Outcome.DONE:
+                self.core.recorder.note_written(record)
+                return
+            self.record("store_call_failed", call="flow record")
+            if result == registration.Outcome.LEASE_GONE:
+                self.registration.take(
+                    call, result, now=self.loop.now, draw=draws.draw()
+                )
+
+        self.store.write(call, done)
+
     def packet_received(self, data: bytes, sender: str) -> None:
         """Counts a datagram from a router; they send none to agents."""
         self.malformed(sender)
@@ -207,6 +283,7 @@
         self.perform(self.core.tick(now=self.loop.now))
         self.ask_for_documents(self.core.relay)
         self.register()
+        self.write_flow_record()
 
     def stop(self) -> None:
         """Ends; the entry of a target that has ended is removed first.
--- a/godwitturn/platform/documents.py
+++ b/godwitturn/platform/documents.py
@@ -13,6 +13,7 @@
 EVACUATION_PREFIX = "op/evacuate/"
 OPERATOR_PREFIX = "op/"
 AGENT_PREFIX = "godwitturn/agents/"
+FLOW_RECORD_PREFIX = "godwitturn/flows/"
 
 _READY = "ready"
 _DRAINING = "draining"
--- /dev/null
+++ b/godwitturn/tests/test_flow_record.py
@@ -0,0 +1,192 @@
+"""Tests of the record of long flows that outlives an agent."""
+
+import unittest
+
+from godwitturn.core.transparent import agent_flows
+from godwitturn.core.transparent import flow_record
+from godwitturn.core.transparent import heartbeats
+from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import segments
+from godwitturn.protocol import flow_record as codec
+
+LONG = (0x0A000001, 4000, 0xC6120001, 443)
+OTHER = (0x0A000002, 4001, 0xC6120001, 443)
+
+
+def heartbeat(
+    target_id: str = "i-1", born: int = 1000, service: str = "core"
+) -> heartbeats.Heartbeat:
+    """Returns a heartbeat of a target."""
+    return heartbeats.Heartbeat(target_id, born, 1, service, False, 1, 0)
+
+
+def flow(
+    opened_at: float, *, accepted: bool = True, acknowledged: int = 5
+) -> agent_flows.Flow:
+    """Returns a flow."""
+    return agent_flows.Flow(
+        "b",
+        opened_at,
+        opened_at,
+        accepted=accepted,
+        acknowledged=acknowledged,
+    )
+
+
+class RecorderCase(unittest.TestCase):
+    """A recorder that found nothing in the store."""
+
+    def setUp(self) -> None:
+        self.recorder = flow_record.FlowRecorder()
+        self.recorder.take_earlier(None, None, {})
+        self.flow_by_id: dict[segments.FlowId, agent_flows.Flow] = {}
+
+    def next_record(
+        self, now: float, *, agents: int = 1, born: int = 1000
+    ) -> flow_record.FlowRecord | None:
+        """Returns the record that is due, and takes it as written."""
+        record = self.recorder.next_record(
+            heartbeat(born=born), self.flow_by_id, agents=agents, now=now
+        )
+        if record is not None:
+            self.recorder.note_written(record)
+        return record
+
+
+class TestWriting(RecorderCase):
+    """When a record is written, and what is in it."""
+
+    def test_long_flows_only(self) -> None:
+        self.flow_by_id = {
+            LONG: flow(0.0),
+            OTHER: flow(9.5),
+            (1, 2, 3, 4): flow(0.0, accepted=False),
+        }
+        record = self.next_record(10.0)
+        assert record is not None
+        self.assertEqual({LONG: 5}, record.acknowledged_by_id)
+        self.assertEqual(("i-1", 1000), (record.target_id, record.born))
+
+    def test_nothing_is_written_without_flows_or_changes(self) -> None:
+        self.assertIsNone(self.next_record(0.0))
+        self.flow_by_id[LONG] = flow(0.0)
+        self.assertIsNotNone(self.next_record(10.0))
+        self.assertIsNone(self.next_record(20.0))
+
+    def test_interval(self) -> None:
+        self.flow_by_id[LONG] = flow(0.0)
+        self.assertIsNotNone(self.next_record(10.0))
+        self.flow_by_id[OTHER] = flow(0.0)
+        interval_s = flow_record.MIN_INTERVAL_S
+        self.assertIsNone(self.next_record(10.0 + interval_s - 0.1))
+        self.assertIsNotNone(self.next_record(10.0 + interval_s))
+
+    def test_writes_of_a_large_fleet_are_bounded(self) -> None:
+        agents = 1000
+        written = 0
+        for tick in range(1000):
+            now = 10.0 + 0.1 * tick
+            self.flow_by_id[(tick, 1, 2, 3)] = flow(0.0)
+            if self.next_record(now, agents=agents) is not None:
+                written += 1
+        a_second = agents * written / 100.0
+        self.assertLessEqual(a_second, flow_record.RECORDS_PER_SECOND)
+
+    def test_record_is_renewed_before_clients_refuse_its_number(self) -> None:
+        self.flow_by_id[LONG] = flow(0.0, acknowledged=(1 << 32) - 10)
+        self.assertIsNotNone(self.next_record(10.0))
+        self.flow_by_id[LONG].acknowledged = flow_record.MAX_DRIFT - 10
+        self.assertIsNone(self.next_record(20.0))
+        self.flow_by_id[LONG].acknowledged += 1
+        self.assertIsNotNone(self.next_record(30.0))
+
+    def test_another_start_of_the_target_makes_a_new_record(self) -> None:
+        self.flow_by_id[LONG] = flow(0.0)
+        self.assertIsNotNone(self.next_record(10.0))
+        self.flow_by_id.clear()
+        self.assertIsNotNone(self.next_record(20.0, born=2000))
+
+    def test_nothing_is_written_before_the_old_record_is_read(self) -> None:
+        self.recorder = flow_record.FlowRecorder()
+        self.flow_by_id[LONG] = flow(0.0)
+        self.assertIsNone(self.next_record(10.0))
+        for _ in range(flow_record.READ_ATTEMPTS - 1):
+            self.assertTrue(self.recorder.may_read_again())
+        self.assertIsNone(self.next_record(10.0))
+        self.assertFalse(self.recorder.may_read_again())
+        self.assertIsNotNone(self.next_record(10.0))
+
+
+class TestEarlierRecord(unittest.TestCase):
+    """What the agent makes of the record of an earlier run."""
+
+    def setUp(self) -> None:
+        self.record = flow_record.FlowRecord(
+            "core", "i-1", 1000, {LONG: 77, OTHER: 88}
+        )
+        self.recorder = flow_record.FlowRecorder()
+
+    def resets(
+        self,
+        beat: heartbeats.Heartbeat,
+        flow_by_id: dict[segments.FlowId, agent_flows.Flow],
+    ) -> list[messages.Reset]:
+        actions = self.recorder.resets(beat, flow_by_id)
+        return [
+            action for action in actions if isinstance(action, messages.Reset)
+        ]
+
+    def test_flows_of_an_ended_target_are_reset_once(self) -> None:
+        self.recorder.take_earlier(self.record, None, {})
+        beat = heartbeat("i-2", 2000)
+        self.assertEqual(
+            [messages.Reset(LONG, 77), messages.Reset(OTHER, 88)],
+            self.resets(beat, {}),
+        )
+        self.assertEqual([], self.resets(beat, {}))
+
+    def test_heartbeat_may_come_before_the_record(self) -> None:
+        actions = self.recorder.take_earlier(
+            self.record, heartbeat("i-2", 2000), {}
+        )
+        self.assertIn(messages.Reset(LONG, 77), actions)
+
+    def test_living_target_keeps_its_flows(self) -> None:
+        self.recorder.take_earlier(self.record, None, {})
+        self.assertEqual([], self.resets(heartbeat(), {}))
+        # A later start is then known to the agent itself.
+        self.assertEqual([], self.resets(heartbeat("i-2", 2000), {}))
+
+    def test_late_heartbeat_of_an_earlier_start_resets_nothing(self) -> None:
+        self.recorder.take_earlier(self.record, None, {})
+        self.assertEqual([], self.resets(heartbeat("i-0", 500), {}))
+        self.assertEqual([], self.resets(heartbeat(), {}))
+
+    def test_same_id_started_again(self) -> None:
+        self.recorder.take_earlier(self.record, None, {})
+        self.assertEqual(2, len(self.resets(heartbeat("i-1", 2000), {})))
+
+    def test_flow_that_was_opened_again_is_kept(self) -> None:
+        self.recorder.take_earlier(self.record, None, {})
+        self.assertEqual(
+            [messages.Reset(OTHER, 88)],
+            self.resets(heartbeat("i-2", 2000), {LONG: flow(0.0)}),
+        )
+
+    def test_record_of_another_service_is_ignored(self) -> None:
+        self.recorder.take_earlier(self.record, None, {})
+        self.assertEqual([], self.resets(heartbeat("i-2", 2000, "cards"), {}))
+
+
+class TestFormat(unittest.TestCase):
+    """The value in the store."""
+
+    def test_round_trip(self) -> None:
+        record = flow_record.FlowRecord(
+            "core", "i-1", 1000, {LONG: 77, OTHER: (1 << 32) - 1}
+        )
+        self.assertEqual(record, codec.decode(codec.encode(record)))
+
+    def test_malformed(self) -> None:
+        for data in (b"", b"[]\n", b'["a","b",1]\nabc', b"\xff\n", b"{}"):
+            self.assertIsNone(codec.decode(data), data)
--- a/godwitturn/tests/test_platform_programs.py
+++ b/godwitturn/tests/test_platform_programs.py
@@ -254,6 +254,24 @@
         segment = self.exchange(transparent_world.ACK, b"request")
         self.assertTrue(segment.data.endswith(b"answer"))
 
+    def test_idle_flow_is_reset_after_its_vm_lost_power(self) -> None:
+        processes = self.start_both()
+        self.beat()
+        self.open_flow()
+        self.exchange(transparent_world.ACK, b"request")
+        key = documents.FLOW_RECORD_PREFIX + self.agent
+        self.assertTrue(wait_until(lambda: key in self.store.item_by_key))
+        for process in processes:
+            process.kill()
+            process.wait()
+        self.target.model.flows.clear()
+        self.start_both()
+        self.beat(born=18)
+        segment = packets.decode(self.client.recv(2048), from_target=True)
+        assert segment is not None
+        self.assertTrue(segment.resetting)
+        self.assertEqual(self.flow_id, segment.flow_id)
+
     def test_unknown_route_is_reset_at_once(self) -> None:
         self.start_both()
         self.beat()
