Pace openings while a target has enough work

Cause: after a loss of power 300 users come back within a second. Each opening is followed by a request; targets queue a few for each slot and shed the rest with 503, and clients spend their two retries within milliseconds.

Change: agents count requests without an answer; beyond four for each slot, openings wait at the agent in order, for 150 ms at most, and then go to the target whatever it has to do. Nothing is refused for this reason.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -18,6 +18,7 @@
 from godwitturn.core.transparent import relay as relays
 from godwitturn.core.transparent import segments
 from godwitturn.core.transparent import target_watch
+from godwitturn.core.transparent import work_limit
 
 TICK_S = 0.05
 FLOW_SWEEP_S = 1.0
@@ -64,6 +65,7 @@
         data_centre: The data centre.
         run: Random number of this run.
         cold: Limit of openings while the target is cold.
+        work: Limit of openings while the target has enough work.
         target: The target.
         audience: Balancers that are told of it.
         flows: Flows of the target.
@@ -81,6 +83,7 @@
     run: int
     cold: cold_limit.ColdLimit
     target: target_watch.TargetWatch
+    work: work_limit.WorkLimit = attrs.field(factory=work_limit.WorkLimit)
     audience: audiences.Audience = attrs.field(factory=audiences.Audience)
     flows: agent_flows.FlowTable = attrs.field(factory=agent_flows.FlowTable)
     evacuated: bool = False
@@ -129,6 +132,7 @@
         restarted = verdict is target_watch.Verdict.RESTARTED
         if restarted and self.target.witnessed:
             self.flows.flow_by_id.clear()
+            self.work.clear()
         return [
             messages.Record(
                 "target_state",
@@ -175,6 +179,7 @@
         if not self.target.end():
             return []
         self.flows.flow_by_id.clear()
+        self.work.clear()
         return [
             messages.Record(
                 "target_down",
@@ -258,8 +263,11 @@
         self.audience.meet(balancer, now=now)
         flow = self.flows.flow_by_id.get(segment.flow_id)
         if flow is not None:
+            if segment.size and not flow.waiting:
+                self.work.ask(segment.flow_id, now=now)
             if flow.note_client(segment, balancer, now=now):
                 self.audience.changed = True
+                self.work.settle(segment.flow_id)
             return [self._deliver(balancer, forward, segment, now=now)]
         if segment.opening:
             return self._admit(balancer, forward, segment, now=now)
@@ -307,9 +315,39 @@
         reason = self._refusal(forward)
         if reason is not None:
             return self._refuse(balancer, segment, reason)
-        if self.target.cold_ms(now) > 0 and not self.cold.admit(now=now):
+        if segment.flow_id in self._waiting:
+            return []
+        if self._waiting or self._must_wait(0.0, now=now):
             return self._wait(balancer, forward, segment, now=now)
-        self._waiting.pop(segment.flow_id, None)
+        return self._open(balancer, forward, segment, now=now)
+
+    def _must_wait(self, waited_s: float, *, now: float) -> bool:
+        """Returns whether an opening must wait for the target.
+
+        Args:
+            waited_s: Seconds for which it has waited.
+            now: Seconds.
+        """
+        if self.target.cold_ms(now) > 0 and not self.cold.room(now=now):
+            return True
+        if self.target.heartbeat is None:
+            return False  # its slots aren't known yet
+        return waited_s < work_limit.MAX_WAIT_S and not self.work.room(
+            slots=self.target.slots, now=now
+        )
+
+    def _open(
+        self,
+        balancer: str,
+        forward: messages.Forward,
+        segment: segments.Segment,
+        *,
+        now: float,
+    ) -> list[messages.Action]:
+        """Gives an opening to the target."""
+        if self.target.cold_ms(now) > 0:
+            self.cold.admit(now=now)
+        self.work.open(segment.flow_id, now=now)
         self.flows.flow_by_id[segment.flow_id] = agent_flows.Flow(
             balancer, now, now
         )
@@ -338,10 +376,9 @@
         *,
         now: float,
     ) -> list[messages.Action]:
-        """Makes an opening wait for a cold target, if that can help."""
-        if segment.flow_id in self._waiting:
-            return []
-        if len(self._waiting) >= self.cold.max_waiting:
+        """Makes an opening wait for the target, if that can help."""
+        cold = self.target.cold_ms(now) > 0
+        if cold and len(self._waiting) >= self.cold.max_waiting:
             return self._refuse(balancer, segment, messages.Refusal.COLD)
         self._waiting[segment.flow_id] = Delivery(
             balancer, forward, segment, now
@@ -365,18 +402,19 @@
         """Admits openings that waited, and refuses those that can't be."""
         actions: list[messages.Action] = []
         for flow_id, opening in list(self._waiting.items()):
-            refused = self._refusal(opening.forward) is not None
-            may_pass = self.target.cold_ms(now) <= 0 or self.cold.room(now=now)
-            late = now - opening.at > cold_limit.MAX_WAIT_S
-            if not (refused or may_pass or late):
-                break
+            reason = self._refusal(opening.forward)
+            waited_s = now - opening.at
+            if reason is None and self._must_wait(waited_s, now=now):
+                if waited_s <= cold_limit.MAX_WAIT_S:
+                    break
+                reason = messages.Refusal.COLD
             del self._waiting[flow_id]
-            if late and not may_pass:
+            if reason is not None:
                 actions += self._refuse(
-                    opening.balancer, opening.segment, messages.Refusal.COLD
+                    opening.balancer, opening.segment, reason
                 )
             else:
-                actions += self._admit(
+                actions += self._open(
                     opening.balancer,
                     opening.forward,
                     opening.segment,
@@ -460,6 +498,7 @@
         ]
         if segment.size and flow.waiting:
             flow.waiting = False
+            self.work.settle(segment.flow_id)
             actions.append(
                 messages.Observe(
                     "answer_time",
@@ -485,10 +524,17 @@
             flow.target_ended = True
             self.audience.changed = True
         if segment.resetting:
-            self.flows.flow_by_id.pop(segment.flow_id, None)
+            self._forget(segment.flow_id)
             self.audience.changed = True
+        if self._waiting:
+            actions += self._admit_waiting(now)
         return actions
 
+    def _forget(self, flow_id: segments.FlowId) -> None:
+        """Notes that the target holds a flow no longer."""
+        self.flows.flow_by_id.pop(flow_id, None)
+        self.work.settle(flow_id)
+
     def _reset_of_unknown_flow(
         self, segment: segments.Segment
     ) -> list[messages.Action]:
@@ -511,12 +557,12 @@
         data = delivery.forward.data
         flow = self.flows.flow_by_id.get(segment.flow_id)
         if segment.opening:
-            self.flows.flow_by_id.pop(segment.flow_id, None)
+            self._forget(segment.flow_id)
             return self._refuse(
                 delivery.balancer, delivery.segment, messages.Refusal.FULL
             )
         if flow is not None:
-            del self.flows.flow_by_id[segment.flow_id]
+            self._forget(segment.flow_id)
             self.audience.changed = True
         if delivery.forward.search:
             absent = messages.FlowAbsent(segment.flow_id)
