Don't hold the stop of an agent for answers that nobody waits for

Cause (TestGracefulStops, listed as known red): an agent that stops waits until each answer is acknowledged or its retention has ended. Retention runs for 10 s beyond the request's deadline, to recognise late duplicates. With the test's deadline of 10 s, an acknowledgement of which both copies were lost held the stop for up to 23 s; process tests allow 20 s. Balancers are restarted in the same test, so both copies, sent within 500 ms, are lost now and then. The log of a failed run shows the agent draining and no GW207.

Change: a stopping agent waits for an answer until its request's deadline.

Ruled out: requests still running or queued (the target was idle), the grace period and the time for which flows linger (3 s and 10 s).

--- a/godwitturn/core/requests.py
+++ b/godwitturn/core/requests.py
@@ -233,12 +233,14 @@
         held_bytes: Bodies and answers of all flows.
         receiving: Requests of which fragments are missing.
         answers: Answers that no caller acknowledged yet.
+        answers_wanted_until: When the last caller of an answer gives it up.
         ended_count: Verdicts that are remembered.
     """
 
     held_bytes: int = 0
     receiving: int = 0
     answers: int = 0
+    answers_wanted_until: float = 0.0
     ended_count: int = 0
     _timers: timer_wheel.TimerWheel[Request] = attrs.field(
         factory=lambda: timer_wheel.TimerWheel(TIMER_RESOLUTION_SECONDS)
@@ -289,6 +291,9 @@
             max(now, request.deadline_at) + ANSWER_RETENTION_SECONDS
         )
         self.answers += 1
+        self.answers_wanted_until = max(
+            self.answers_wanted_until, request.deadline_at
+        )
         self._hold(request, len(answer) + REQUEST_OVERHEAD_BYTES)
 
     def _release(self, request: Request) -> None:
