Keep a flow at the target that took it first

After 150 ms the client's copy went to another agent, whose target took the flow and answered requests. When the first agent woke it gave the old opening to its target and told the balancer, which moved the flow there: requests of a living flow reached another target.

Change: a balancer keeps a flow with the agent that has taken it, whatever others claim later, unless that agent is lost. If the client uses the other target after all, the one believed in returns its packets, and the flow is searched.

--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -525,6 +525,18 @@
         self.table.hear(agent, now=now)
         service = self._service_of(agent)
         known = self.cache.flow_by_id.get(flow_id)
+        if known is not None and self._taken_elsewhere(known, agent, now=now):
+            self.count("claims_ignored")
+            return [
+                messages.Record(
+                    "flow_claim_ignored",
+                    {
+                        "flow": segments.flow_name(flow_id),
+                        "agent": agent,
+                        "holder": known.agent,
+                    },
+                )
+            ]
         self.cache.hold(flow_id, agent, now=now)
         actions: list[messages.Action] = []
         if known is not None and known.agent == agent and not known.accepted:
@@ -552,6 +564,22 @@
         ]
         return actions
 
+    def _taken_elsewhere(
+        self, known: flow_cache.CachedFlow, agent: str, *, now: float
+    ) -> bool:
+        """Returns whether another agent's target has taken a flow already.
+
+        An agent that was suspended takes an opening that it was offered long
+        ago, after a copy of it went to another target. The client uses the
+        target that answered first; should that not be the one known here, it
+        returns the client's packets, and the flow is searched.
+        """
+        return (
+            known.accepted
+            and known.agent != agent
+            and not self._lost(known.agent, now=now)
+        )
+
     def _listed(
         self,
         agent: str,
@@ -566,7 +594,7 @@
             known = self.cache.flow_by_id.get(flow_id)
             if flow_id in self.cache.search_by_id:
                 actions += self._held(agent, flow_id, now=now)
-            elif known is None or not known.established:
+            elif known is None or not known.accepted:
                 self.cache.hold(flow_id, agent, now=now)
         return actions
 
--- a/godwitturn/core/transparent/catalogue.py
+++ b/godwitturn/core/transparent/catalogue.py
@@ -39,4 +39,5 @@
     "recorded_flows_reset": 645,
     "flow_record_not_read": 646,
     "recorded_flows_adopted": 647,
+    "flow_claim_ignored": 648,
 }
--- /dev/null
+++ b/godwitturn/tests/test_transparent_balancer.py
@@ -0,0 +1,110 @@
+"""Tests of a balancer's belief about where a flow is."""
+
+import unittest
+
+from godwitturn.core.transparent import balancer as balancers
+from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import peers
+from godwitturn.core.transparent import segments
+from godwitturn.platform import packets
+from godwitturn.standins import transparent_world
+
+AGENTS = ("10.0.0.1", "10.0.0.2")
+FLOW_ID = (
+    0x0A000063,
+    4000,
+    transparent_world.ROUTE_ADDRESS,
+    transparent_world.ROUTE_PORT,
+)
+
+
+def _segment(flags: int, data: bytes = b"") -> segments.Segment:
+    packet = transparent_world.packet(FLOW_ID, flags, data=data)
+    segment = packets.decode(packet, from_target=False)
+    assert segment is not None
+    return segment
+
+
+class TwoTakersCase(unittest.TestCase):
+    """A flow whose opening was offered to two agents."""
+
+    def setUp(self) -> None:
+        self.balancer = balancers.Balancer(
+            address="10.0.1.1",
+            data_centre="a",
+            started_at=0.0,
+            peers=peers.PeerTable("10.0.1.1"),
+        )
+        self.balancer.configure(transparent_world.configuration(), revision=1)
+        for agent in AGENTS:
+            self.announce(agent, now=10.0)
+        self.first = self.open(now=10.0)
+        # The first agent is suspended, and a copy of the opening comes.
+        self.second = self.open(now=10.2)
+
+    def announce(self, agent: str, *, now: float) -> None:
+        announcement = messages.Announcement(
+            node=agent,
+            service="core",
+            data_centre="a",
+            run=1,
+            sequence=round(now * 1000),
+            incarnation="i/1",
+            state=messages.TargetState.READY,
+            slots=1,
+            flows=0,
+            work=0,
+            cold_ms=0,
+            balancers=(),
+            revision=1,
+        )
+        self.balancer.handle_message(agent, announcement, now=now)
+
+    def open(self, *, now: float) -> str:
+        """Opens the flow and returns the agent that is offered it."""
+        return self.forwarded_to(_segment(transparent_world.SYN), now=now)
+
+    def forwarded_to(self, segment: segments.Segment, *, now: float) -> str:
+        actions = self.balancer.handle_packet(segment, now=now)
+        (send,) = [a for a in actions if isinstance(a, messages.Send)]
+        self.assertIsInstance(send.message, messages.Forward)
+        return send.address
+
+    def data_goes_to(self, *, now: float) -> str:
+        segment = _segment(transparent_world.ACK, b"request")
+        return self.forwarded_to(segment, now=now)
+
+
+class TestLateTaker(TwoTakersCase):
+    """The first agent wakes and takes the opening that it was offered."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.assertNotEqual(self.first, self.second)
+        self.say(self.second, messages.FlowHeld(FLOW_ID), now=10.21)
+
+    def say(
+        self, agent: str, message: messages.Message, *, now: float
+    ) -> None:
+        self.balancer.handle_message(agent, message, now=now)
+
+    def test_established_flow_stays(self) -> None:
+        self.assertEqual(self.second, self.data_goes_to(now=10.3))
+        self.say(self.first, messages.FlowHeld(FLOW_ID), now=10.4)
+        self.assertEqual(self.second, self.data_goes_to(now=10.5))
+
+    def test_established_flow_stays_when_it_is_listed(self) -> None:
+        self.assertEqual(self.second, self.data_goes_to(now=10.3))
+        self.say(self.first, messages.FlowsListed((FLOW_ID,)), now=10.4)
+        self.assertEqual(self.second, self.data_goes_to(now=10.5))
+
+    def test_accepted_flow_stays(self) -> None:
+        self.say(self.first, messages.FlowHeld(FLOW_ID), now=10.25)
+        self.say(self.first, messages.FlowsListed((FLOW_ID,)), now=10.25)
+        self.assertEqual(self.second, self.data_goes_to(now=10.3))
+
+    def test_flow_that_the_first_taker_does_not_hold_is_searched(self) -> None:
+        segment = _segment(transparent_world.ACK, b"request")
+        self.balancer.handle_missing(self.second, segment, now=10.3)
+        self.say(self.first, messages.FlowHeld(FLOW_ID), now=10.31)
+        self.assertEqual(self.first, self.data_goes_to(now=10.4))
