Add a randomized soak of the real programs

Balancers and agents run as processes on loopback addresses. Faults are drawn from a seed and overlap: signals, changed settings, a store behind a proxy that refuses, delays, resets, silences or passes one way, lapsed leases, targets that crash, drain and start anew, versions and evacuations. What daemons believe moved to a module of its own, so that the decisions are shorter.

The stand-in of the store gave a lease id out twice after a lease had ended; it counts them now.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -255,25 +255,10 @@
             now=now,
         )
 
-    def describe(self, *, now: float) -> dict[str, object]:
-        """Returns what this agent believes, for operators."""
-        target = self.target
-        return {
-            "service": self.service,
-            "state": target.state.name.lower(),
-            "incarnation": target.incarnation,
-            "heartbeat_age_s": round(now - target.heartbeat_at, 2),
-            "evacuated": self.evacuated,
-            "revision": self.revision,
-            "flows": len(self.flows.flow_by_id),
-            "waiting": len(self._waiting),
-            "balancers": {
-                address: round(now - balancer.heard_at, 2)
-                for address, balancer in (
-                    self.audience.balancer_by_address.items()
-                )
-            },
-        }
+    @property
+    def waiting(self) -> int:
+        """How many openings wait for the target."""
+        return len(self._waiting)
 
     # Packets from balancers.
 
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -188,35 +188,6 @@
         half_ready = self.peers.half_ready(self.data_centre, now=now)
         return self.stop.may_end(half_ready=half_ready, now=now)
 
-    def state(self, *, now: float) -> dict[str, object]:
-        """Returns what this balancer believes, for operators."""
-        flows = self.cache.count_by_agent()
-        return {
-            "version": (
-                self.configuration.version if self.configuration else None
-            ),
-            "revision": self.revision,
-            "closed_data_centres": sorted(self.closed_data_centres),
-            "stopping": self.stop is not None,
-            "peers": sorted(self.peers.peer_by_address),
-            "targets": {
-                address: {
-                    "service": target.service,
-                    "data_centre": target.data_centre,
-                    "registered": target.registered,
-                    "silent_s": round(target.silent_s(now), 2),
-                    "state": (
-                        target.announcement.state.name.lower()
-                        if target.announcement
-                        else "unannounced"
-                    ),
-                    "load": round(target.load(), 2),
-                    "flows_here": flows.get(address, 0),
-                }
-                for address, target in self.table.target_by_address.items()
-            },
-        }
-
     # Packets of clients.
 
     def handle_packet(
--- /dev/null
+++ b/godwitturn/core/transparent/beliefs.py
@@ -0,0 +1,57 @@
+"""What daemons believe, as operators are shown it."""
+
+from godwitturn.core.transparent import agent as agents
+from godwitturn.core.transparent import balancer as balancers
+
+
+def of_balancer(
+    balancer: balancers.Balancer, *, now: float
+) -> dict[str, object]:
+    """Returns what this balancer believes, for operators."""
+    flows = balancer.cache.count_by_agent()
+    return {
+        "version": (
+            balancer.configuration.version if balancer.configuration else None
+        ),
+        "revision": balancer.revision,
+        "closed_data_centres": sorted(balancer.closed_data_centres),
+        "stopping": balancer.stop is not None,
+        "peers": sorted(balancer.peers.peer_by_address),
+        "targets": {
+            address: {
+                "service": target.service,
+                "data_centre": target.data_centre,
+                "registered": target.registered,
+                "silent_s": round(target.silent_s(now), 2),
+                "state": (
+                    target.announcement.state.name.lower()
+                    if target.announcement
+                    else "unannounced"
+                ),
+                "load": round(target.load(), 2),
+                "flows_here": flows.get(address, 0),
+            }
+            for address, target in balancer.table.target_by_address.items()
+        },
+    }
+
+
+def of_agent(agent: agents.Agent, *, now: float) -> dict[str, object]:
+    """Returns what this agent believes, for operators."""
+    target = agent.target
+    return {
+        "service": agent.service,
+        "state": target.state.name.lower(),
+        "incarnation": target.incarnation,
+        "heartbeat_age_s": round(now - target.heartbeat_at, 2),
+        "evacuated": agent.evacuated,
+        "revision": agent.revision,
+        "flows": len(agent.flows.flow_by_id),
+        "waiting": agent.waiting,
+        "balancers": {
+            address: round(now - balancer.heard_at, 2)
+            for address, balancer in (
+                agent.audience.balancer_by_address.items()
+            )
+        },
+    }
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -2,6 +2,7 @@
 
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import audience as audiences
+from godwitturn.core.transparent import beliefs
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import flow_record
 from godwitturn.core.transparent import messages
@@ -53,7 +54,7 @@
             metrics_page.MetricsPage(
                 self.core.counts,
                 self.gauges,
-                lambda: self.core.describe(now=self.loop.now),
+                lambda: beliefs.of_agent(self.core, now=self.loop.now),
             )
         )
         self.copy = relay.Documents(0, {})
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -1,6 +1,7 @@
 """Program of a balancer on the platform."""
 
 from godwitturn.core.transparent import balancer as balancers
+from godwitturn.core.transparent import beliefs
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import peers
@@ -40,7 +41,7 @@
             metrics_page.MetricsPage(
                 self.core.counts,
                 self.gauges,
-                lambda: self.core.state(now=self.loop.now),
+                lambda: beliefs.of_balancer(self.core, now=self.loop.now),
             )
         )
         for seed in settings.seeds:
--- /dev/null
+++ b/godwitturn/soak/deployment.py
@@ -0,0 +1,230 @@
+"""Processes and addresses of a soak."""
+
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+from typing import Any
+
+import attrs
+
+from godwitturn.daemons import reactor
+from godwitturn.platform import documents
+from godwitturn.soak import history as histories
+from godwitturn.soak import proxy
+from godwitturn.standins import platform_store
+
+PACKETS_PORT = 8172
+READY_PORT = 8167
+CONTROL_PORT = 8166
+OUTBOUND_PORT = 8162
+TARGET_PORT = 8165
+PEER_PORT = 7720
+GRACE_S = 6
+RESTART_S = 0.3
+ROUTE_HOST = "198.18.0.1"
+PORT_BY_SERVICE = {"core": 443, "cards": 444}
+DATA_CENTRES = ("north", "south")
+BALANCERS = 4
+SERVICES = ("core", "core", "core", "cards", "cards")
+MAX_FLOWS = 2000
+FIRST_VERSION = 3
+END_WAIT_S = 10.0
+
+
+@attrs.define
+class Member:
+    """A balancer or an agent.
+
+    Attributes:
+        name: Its name.
+        role: Its role.
+        address: Its IP number.
+        data_centre: Its data centre.
+        service: Service of the target beside an agent.
+        process: The process that runs, None while none does.
+        wanted: Whether one should run.
+    """
+
+    name: str
+    role: str
+    address: str
+    data_centre: str
+    service: str = ""
+    process: subprocess.Popen[bytes] | None = None
+    wanted: bool = True
+
+
+class Deployment:
+    """A store behind a proxy, balancers and agents.
+
+    Attributes:
+        loop: The event loop.
+        history: What is seen and done.
+        store: The store.
+        proxy: What daemons reach it through.
+        balancers: The balancers.
+        agents: The agents, one for each target.
+    """
+
+    def __init__(
+        self,
+        loop: reactor.Reactor,
+        history: histories.History,
+        directory: pathlib.Path,
+        subnet: str,
+    ) -> None:
+        self.loop = loop
+        self.history = history
+        self.store = platform_store.PlatformStore((f"{subnet}.200", 0))
+        host, port = self.store.server_address[:2]
+        self.proxy = proxy.Proxy(loop, (f"{subnet}.201", 0), (str(host), port))
+        self.balancers = [
+            Member(
+                f"balancer-{number}",
+                "balancer",
+                f"{subnet}.{10 + number}",
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+            )
+            for number in range(BALANCERS)
+        ]
+        self.agents = [
+            Member(
+                f"agent-{number}",
+                "agent",
+                f"{subnet}.{50 + number}",
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+                service,
+            )
+            for number, service in enumerate(SERVICES)
+        ]
+        self._directory = directory
+        self._version = FIRST_VERSION
+        self._spare_route = False
+        self.configure()
+
+    @property
+    def members(self) -> list[Member]:
+        """All balancers and agents."""
+        return self.balancers + self.agents
+
+    def configure(self) -> None:
+        """Writes the next version; every other one has a route more."""
+        self._version += random.Random(self._version).randint(1, 5)
+        self._spare_route = not self._spare_route
+        ports = dict(PORT_BY_SERVICE)
+        rows = [
+            (service, port, service) for service, port in ports.items()
+        ] + [("spare", 9000, "core")] * self._spare_route
+        document = {
+            "version": self._version,
+            "routes": [
+                {
+                    "name": name,
+                    "host": ROUTE_HOST,
+                    "prefix": f"/{port}/",
+                    "service": service,
+                }
+                for name, port, service in rows
+            ],
+            "services": [
+                {"name": service, "max_conns": MAX_FLOWS} for service in ports
+            ],
+            "limits": {"idle_timeout_ms": 15000},
+        }
+        self.store.put(
+            documents.CONFIGURATION_KEY, json.dumps(document).encode()
+        )
+
+    def evacuate(self, data_centre: str, *, closed: bool) -> None:
+        """Closes a data centre for new flows, or opens it again."""
+        key = documents.EVACUATION_PREFIX + data_centre
+        if closed:
+            self.store.put(key, b"{}")
+        else:
+            self.store.delete(key)
+
+    def write_settings(self, member: Member, **changes: Any) -> None:
+        """Writes the settings file of a member."""
+        address = member.address
+        host, port = self.proxy.address
+        seeds = [balancer.address for balancer in self.balancers[:3]]
+        fields: dict[str, Any] = {
+            "node_id": member.name,
+            "ip": address,
+            "zone": member.data_centre,
+            "listen": {
+                "datagram_addr": f"{address}:{PACKETS_PORT}",
+                "ready_addr": f"{address}:{READY_PORT}",
+                "control": f"{address}:{CONTROL_PORT}",
+            },
+            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
+            "internal_ports": [PEER_PORT, PEER_PORT + 15],
+            "platform": {"address": f"{host}:{port}"},
+            "bounds": {"grace_s": GRACE_S, **changes},
+        }
+        if member.role == "agent":
+            fields["listen"]["outbound"] = f"{address}:{OUTBOUND_PORT}"
+            fields["app"] = f"{address}:{TARGET_PORT}"
+            fields["service"] = member.service
+        self._settings_path(member).write_text(json.dumps(fields))
+
+    def _settings_path(self, member: Member) -> pathlib.Path:
+        return self._directory / f"{member.name}.json"
+
+    def log_path(self, member: Member) -> pathlib.Path:
+        """Returns where a member's log lines are kept."""
+        return self._directory / f"{member.name}.log"
+
+    def start(self, member: Member) -> None:
+        """Starts a member's process, unless it runs."""
+        member.wanted = True
+        if member.process is not None and member.process.poll() is None:
+            return
+        self.write_settings(member)
+        with self.log_path(member).open("ab") as log:
+            member.process = subprocess.Popen(
+                [sys.executable, "-m", "godwitturn.platform", member.role],
+                env={
+                    **os.environ,
+                    "GODWITTURN_CONFIG": str(self._settings_path(member)),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def start_later(self, member: Member) -> None:
+        """Starts a member's process again after a short while."""
+        self.loop.call_later(RESTART_S, lambda: self.start(member))
+
+    def signal(self, member: Member, number: signal.Signals) -> None:
+        """Sends a signal to a member's process, if it runs."""
+        if member.process is not None and member.process.poll() is None:
+            member.process.send_signal(number)
+
+    def note_exits(self) -> None:
+        """Starts what has ended again; notes what should not have."""
+        for member in self.members:
+            process = member.process
+            if process is None or process.poll() is None:
+                continue
+            member.process = None
+            if member.wanted:
+                self.history.exits.append(
+                    f"{member.name}: status {process.returncode}"
+                )
+            self.start_later(member)
+
+    def close(self) -> None:
+        """Ends all processes that were started, and the store."""
+        for member in self.members:
+            process = member.process
+            if process is not None and process.poll() is None:
+                process.kill()
+                process.wait(END_WAIT_S)
+        self.proxy.close()
+        self.store.shutdown()
+        self.store.server_close()
--- /dev/null
+++ b/godwitturn/soak/proxy.py
@@ -0,0 +1,150 @@
+"""Loopback proxy in front of the store that misbehaves on demand."""
+
+import enum
+import selectors
+import socket
+import struct
+
+from godwitturn.daemons import reactor
+
+READ_BYTES = 65536
+SLOW_S = 0.25
+BACKLOG = 64
+# Closing with this option resets the connection.
+_LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+class Mode(enum.Enum):
+    """How the proxy treats what passes through it."""
+
+    PASS = "pass"
+    SLOW = "slow"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+    RESET = "reset"
+
+
+class Proxy:
+    """Passes connections on to an address.
+
+    Attributes:
+        mode: How it treats connections, also those that are open.
+        address: Where it listens.
+    """
+
+    def __init__(
+        self,
+        loop: reactor.Reactor,
+        address: tuple[str, int],
+        upstream: tuple[str, int],
+    ) -> None:
+        self.mode = Mode.PASS
+        self._loop = loop
+        self._upstream = upstream
+        self._pairs: set[_Pair] = set()
+        self._socket = socket.create_server(address, backlog=BACKLOG)
+        self._socket.setblocking(False)
+        self.address: tuple[str, int] = self._socket.getsockname()[:2]
+        loop.watch(self._socket, selectors.EVENT_READ, self._accept)
+
+    def _accept(self) -> None:
+        try:
+            client, _ = self._socket.accept()
+        except OSError:
+            return  # the client has gone
+        if self.mode is Mode.RESET:
+            reset(client)
+            return
+        try:
+            server = socket.create_connection(self._upstream)
+        except OSError:
+            reset(client)
+            return
+        self._pairs.add(_Pair(self, self._loop, client, server))
+
+    def change(self, mode: Mode) -> None:
+        """Changes the mode; `RESET` breaks open connections off."""
+        self.mode = mode
+        if mode is Mode.RESET:
+            for pair in list(self._pairs):
+                pair.close()
+
+    def forget(self, pair: "_Pair") -> None:
+        """Notes that a connection has ended."""
+        self._pairs.discard(pair)
+
+    def close(self) -> None:
+        """Stops listening and breaks all connections off."""
+        self._loop.unwatch(self._socket)
+        self._socket.close()
+        for pair in list(self._pairs):
+            pair.close()
+
+
+class _Pair:
+    """A client's connection and the one that it is passed on to."""
+
+    def __init__(
+        self,
+        proxy: Proxy,
+        loop: reactor.Reactor,
+        client: socket.socket,
+        server: socket.socket,
+    ) -> None:
+        self._proxy = proxy
+        self._loop = loop
+        self._sockets = (client, server)
+        for source, sink, inward in (
+            (client, server, True),
+            (server, client, False),
+        ):
+            source.setblocking(False)
+            self._watch(source, sink, inward)
+
+    def _watch(
+        self, source: socket.socket, sink: socket.socket, inward: bool
+    ) -> None:
+        self._loop.watch(
+            source,
+            selectors.EVENT_READ,
+            lambda: self._pump(source, sink, inward),
+        )
+
+    def _pump(
+        self, source: socket.socket, sink: socket.socket, inward: bool
+    ) -> None:
+        mode = self._proxy.mode
+        try:
+            data = source.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self.close()
+        elif mode is Mode.SLOW:
+            self._loop.call_later(SLOW_S, lambda: self._send(sink, data))
+        elif mode is Mode.PASS or (mode is Mode.ONE_WAY and inward):
+            self._send(sink, data)
+
+    def _send(self, sink: socket.socket, data: bytes) -> None:
+        if sink.fileno() < 0:
+            return
+        try:
+            sink.sendall(data)
+        except OSError:
+            self.close()
+
+    def close(self) -> None:
+        """Breaks both connections off."""
+        self._proxy.forget(self)
+        for sock in self._sockets:
+            if sock.fileno() >= 0:
+                self._loop.unwatch(sock)
+                reset(sock)
+
+
+def reset(sock: socket.socket) -> None:
+    """Closes a connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+    sock.close()
--- a/godwitturn/standins/platform_store.py
+++ b/godwitturn/standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import http.server
+import itertools
 import json
 import threading
 import time
@@ -27,6 +28,7 @@
         self.refusing = False
         self._events: list[dict[str, Any]] = []
         self._revision = 1
+        self._lease_ids = itertools.count(LEASE_IDS_FROM)
         self._leases: dict[int, float] = {}
         self._changed = threading.Condition()
         threading.Thread(target=self.serve_forever, daemon=True).start()
@@ -96,7 +98,7 @@
     def grant(self, document: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Grants a lease."""
         with self._changed:
-            lease = LEASE_IDS_FROM + len(self._leases)
+            lease = next(self._lease_ids)
             self._leases[lease] = time.monotonic()
         return 200, {"lease": lease, "ttl_ms": document["ttl_ms"]}
 
@@ -107,6 +109,11 @@
             if item["lease"] == lease:
                 self.delete(key)
 
+    def lapse(self) -> None:
+        """Ends all leases."""
+        for lease in list(self._leases):
+            self.end_lease(lease)
+
     def write(self, document: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Writes keys under a lease."""
         for put in document["puts"]:
