Let the test of the deploy file's faults change today's start command

Cause: the test put a wrong role into the deploy file by replacing the words "platform agent", which the start command has not had since programs are compiled; it found no fault to report. The check itself and what the test expects are unchanged.

--- a/godwitturn/tests/test_cli_deployment.py
+++ b/godwitturn/tests/test_cli_deployment.py
@@ -44,7 +44,7 @@
         text = self.file.read_text()
         text = text.replace('on = "side"', 'on = "beside"')
         text = text.replace('metrics = "9464/metrics"', 'metrics = "1/x"')
-        text = text.replace("platform agent", "platform angel")
+        text = text.replace("start.pyc agent", "start.pyc angel")
         self.file.write_text(text)
         (self.deploy / "settings.json.tmpl").unlink()
         code, _, errors = run("check-deployment", "--file", str(self.file))
