Prefer nearly equal targets of the own data centre; pause between watches of agents

Cause of two prices of the grown deployments: packets crossed data centres although a target of the client's own one had hardly more load, since loads are rarely equal once targets hold tens of flows; and each change of an agent's entry woke the watch of each balancer, 25 calls for each target released.

A target of the own data centre may now have a tenth more load than the least loaded one. After a watch of agents has brought changes, the next begins two seconds later; agents are heard directly meanwhile. Agents wait as long before they believe that a new entry is missing, so that none is written twice.

Ruled out: the operators' documents as the cause of the calls (their watch returns only for changes of theirs, about a tenth of the calls).

--- a/godwitturn/core/transparent/mirror.py
+++ b/godwitturn/core/transparent/mirror.py
@@ -97,6 +97,8 @@
     Attributes:
         prefix: The prefix.
         wait_s: Seconds that a watch waits.
+        pause_s: Seconds between a watch that brought changes and the next, so
+            that one call brings the changes of all that time.
         item_by_key: The keys, as of `revision`.
         revision: Store revision of the copy, 0 before the first one.
         changed_at: Revision of the last change in the copy. The store counts
@@ -107,6 +109,7 @@
 
     prefix: str
     wait_s: float
+    pause_s: float = 0.0
     item_by_key: dict[str, Item] = attrs.field(factory=dict)
     revision: int = 0
     changed_at: int = 0
@@ -130,7 +133,7 @@
         self._read = {}
         self._read_revision = 0
 
-    def retry_delay_s(self, draw: float) -> float:
+    def delay_s(self, draw: float) -> float:
         """Returns the seconds to wait before the next call.
 
         Args:
@@ -138,7 +141,7 @@
                 failed together don't return together.
         """
         if not self.failures:
-            return 0.0
+            return 0.0 if self._reading else self.pause_s
         delay_s = RETRY_FIRST_S * 2 ** min(self.failures - 1, 8)
         return min(RETRY_LAST_S, delay_s) * (0.5 + 0.5 * draw)
 
--- a/godwitturn/core/transparent/registration.py
+++ b/godwitturn/core/transparent/registration.py
@@ -10,8 +10,11 @@
 RETRY_FIRST_S = 0.2
 # Entries are to be back within two seconds of the store's return.
 RETRY_LAST_S = 1.0
-# Balancers may not have seen a new entry yet when they say it is missing.
-REPUT_DELAY_S = 1.0
+# Balancers notice a changed entry within this; until then they hear agents.
+NOTICE_S = 2.0
+# Balancers may not have seen a new entry yet when they say it is missing; the
+# second is for their calls and their greetings.
+REPUT_DELAY_S = NOTICE_S + 1.0
 
 
 @attrs.define(frozen=True, repr=False)
--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -22,6 +22,10 @@
 # Targets compared for one opening. The best of so many is about as good as the
 # best of all, at a cost that doesn't grow with the service.
 MAX_CANDIDATES = 24
+# A target of the own data centre may have this share more load than the one
+# with the least: packets to it cross no link between data centres. Loads may
+# be up to a quarter over their mean.
+LOCAL_EXCESS = 0.1
 # How many flows' worth of load a cold target counts as carrying already.
 COLD_LOAD = 4.0
 
@@ -64,6 +68,25 @@
             return now - self.added_at
         return now - self.heard_at
 
+    def may_take_openings(self, *, max_flows: int, now: float) -> bool:
+        """Returns whether the target could accept an opening at all."""
+        return (
+            self.announcement is not None
+            and self.announcement.state
+            in (messages.TargetState.READY, messages.TargetState.UNKNOWN)
+            and self.announcement.flows < max_flows
+            and self.silent_s(now) <= LOST_S
+        )
+
+    def doubtful(self, now: float) -> bool:
+        """Returns whether others are to be preferred whatever their load."""
+        return (
+            self.silent_s(now) > SILENT_S
+            or self.paused_until > now
+            or self.announcement is None
+            or self.announcement.state == messages.TargetState.UNKNOWN
+        )
+
     def load(self) -> float:
         """Returns the flows a slot, with openings that aren't reported."""
         if self.announcement is None:
@@ -230,7 +253,7 @@
         Args:
             service: The service.
             now: Seconds.
-            data_centre: Preferred among targets of equal load.
+            data_centre: Preferred among targets of about equal load.
             closed_data_centres: Data centres that get nothing new.
             max_flows: Flows that one target holds.
             excluded: Addresses that were tried already.
@@ -239,37 +262,26 @@
         Returns:
             The target, or None if none may take the opening.
         """
-        ranked = []
-        for target in _sample(self.of_service(service), spread):
-            if (
-                target.address in excluded
-                or target.data_centre in closed_data_centres
-                or target.announcement is None
-                or target.announcement.state
-                not in (
-                    messages.TargetState.READY,
-                    messages.TargetState.UNKNOWN,
-                )
-                or target.announcement.flows >= max_flows
-                or target.silent_s(now) > LOST_S
-            ):
-                continue
-            doubtful = (
-                target.silent_s(now) > SILENT_S
-                or target.paused_until > now
-                or target.announcement.state == messages.TargetState.UNKNOWN
-            )
-            ranked.append(
-                (
-                    doubtful,
-                    target.load(),
-                    target.data_centre != data_centre,
-                    zlib.crc32(b"%d/%s" % (spread, target.address.encode())),
-                    target,
-                )
-            )
-        if not ranked:
+        usable = [
+            target
+            for target in _sample(self.of_service(service), spread)
+            if target.address not in excluded
+            and target.data_centre not in closed_data_centres
+            and target.may_take_openings(max_flows=max_flows, now=now)
+        ]
+        if not usable:
             return None
-        target = min(ranked, key=lambda row: row[:4])[4]
+        trusted = [target for target in usable if not target.doubtful(now)]
+        candidates = trusted or usable
+        least = min(target.load() for target in candidates)
+        bearable = least * (1.0 + LOCAL_EXCESS)
+
+        def rank(target: Target) -> tuple[bool, float, int]:
+            load = target.load()
+            local = target.data_centre == data_centre and load <= bearable
+            draw = zlib.crc32(b"%d/%s" % (spread, target.address.encode()))
+            return not local, load, draw
+
+        target = min(candidates, key=rank)
         target.opened_at.append(now)
         return target
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -5,6 +5,7 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import peers
+from godwitturn.core.transparent import registration
 from godwitturn.core.transparent import relay
 from godwitturn.daemons import draws
 from godwitturn.daemons import http_client
@@ -18,6 +19,9 @@
 OPERATOR_WATCH_S = 4.0
 # Agents are heard directly, so their entries may be noticed later.
 AGENT_WATCH_S = 10.0
+# A release changes entries many times a second, which would wake the watch of
+# each balancer each time.
+AGENT_PAUSE_S = registration.NOTICE_S
 
 
 class BalancerProgram(program.Program):
@@ -36,7 +40,9 @@
         self.operator_copy = self._mirror(
             documents.OPERATOR_PREFIX, OPERATOR_WATCH_S
         )
-        self._mirror(documents.AGENT_PREFIX, AGENT_WATCH_S)
+        self._mirror(
+            documents.AGENT_PREFIX, AGENT_WATCH_S, pause_s=AGENT_PAUSE_S
+        )
         self.serve_pages(
             metrics_page.MetricsPage(
                 self.core.counts,
@@ -47,9 +53,11 @@
         for seed in settings.seeds:
             self.core.peers.meet(seed, now=self.loop.now)
 
-    def _mirror(self, prefix: str, wait_s: float) -> mirror.Mirror:
+    def _mirror(
+        self, prefix: str, wait_s: float, *, pause_s: float = 0.0
+    ) -> mirror.Mirror:
         """Keeps a copy of a prefix of the store."""
-        copy = mirror.Mirror(prefix, wait_s)
+        copy = mirror.Mirror(prefix, wait_s, pause_s)
         client = http_client.HttpClient(self.loop, self.settings.store)
         self.store_clients.append(client)
         connection = store.Store(client)
@@ -72,7 +80,7 @@
             elif failed_before:
                 self.record("store_regained", prefix=prefix)
             self.store_changed(copy, changes)
-            self.loop.call_later(copy.retry_delay_s(draws.draw()), call)
+            self.loop.call_later(copy.delay_s(draws.draw()), call)
 
         call()
         return copy
--- a/godwitturn/tests/test_transparent_targets.py
+++ b/godwitturn/tests/test_transparent_targets.py
@@ -96,6 +96,23 @@
             )
             self.assertEqual("b", table_choice)
 
+    def test_own_data_centre_at_a_little_more_load(self) -> None:
+        self.table.announce("far", announcement(flows=20), now=0.0)
+        for flows, chosen in ((22, "near"), (23, "far")):
+            near = announcement(sequence=flows, flows=flows, data_centre="b")
+            self.table.announce("near", near, now=0.0)
+            target = self.table.choose(
+                "core",
+                now=1.0,
+                data_centre="b",
+                closed_data_centres=frozenset(),
+                max_flows=100,
+                excluded=frozenset(),
+                spread=1,
+            )
+            assert target is not None
+            self.assertEqual(chosen, target.address)
+
     def test_targets_that_may_not_be_chosen(self) -> None:
         cases = {
             "draining": announcement(state=messages.TargetState.DRAINING),
