Ramp the openings of targets that join others

A target that joins others may get twice its even share of openings at first, and any number after 5 s. An opening draws which starting targets it considers, so balancers need not hear of each other. Targets that joined together, as after a loss of power, are chosen by load alone. An agent that restarts beside its target doesn't make the target a new one.

Ruled out: searches after changes of the rotation (6 to 29 a second, answered in one round trip).

Judging targets by their flows is not built.

--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -26,6 +26,12 @@
 # with the least: packets to it cross no link between data centres. Loads may
 # be up to a quarter over their mean.
 LOCAL_EXCESS = 0.1
+# A target that joins has no flows, so it would get every opening at once. The
+# share of openings that it may get grows to all of them within this; targets
+# are slow for about two seconds after their start.
+RAMP_S = 5.0
+# Share of openings that it may get at first, as a multiple of an even share.
+FIRST_SHARE = 2.0
 # How many flows' worth of load a cold target counts as carrying already.
 COLD_LOAD = 4.0
 
@@ -42,6 +48,8 @@
         registered: Whether the store holds the agent's entry.
         heard_at: When the agent last said something, None if never.
         announcement: The newest announcement, if there is one.
+        incarnation: Newest known start of the target, empty until known.
+        joined_at: When this balancer learnt of that start.
         paused_until: Openings are offered elsewhere until then.
         opened_at: Times of openings sent and perhaps not yet reported.
     """
@@ -53,6 +61,8 @@
     registered: bool = False
     heard_at: float | None = None
     announcement: messages.Announcement | None = None
+    incarnation: str = ""
+    joined_at: float = float("-inf")
     paused_until: float = 0.0
     opened_at: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=256)
@@ -87,6 +97,10 @@
             or self.announcement.state == messages.TargetState.UNKNOWN
         )
 
+    def ramp(self, now: float) -> float:
+        """Returns the share of openings that the target may get, up to 1."""
+        return min(1.0, (now - self.joined_at) / RAMP_S)
+
     def load(self) -> float:
         """Returns the flows a slot, with openings that aren't reported."""
         if self.announcement is None:
@@ -108,6 +122,30 @@
     ]
 
 
+def _draw(spread: int, address: str) -> int:
+    """Returns a number of 32 bits for an opening at a target."""
+    return zlib.crc32(b"%d/%s" % (spread, address.encode()))
+
+
+def _without_most_starting(
+    targets: list[Target], spread: int, *, now: float
+) -> list[Target]:
+    """Leaves out targets that have just joined, for most openings.
+
+    Pattern: slow start. Balancers choose at the same time and hear of each
+    other's choices later, so a share of openings bounds what a target gets.
+    Targets that joined together, and have no others beside them, all stay.
+    """
+    if all(target.ramp(now) < 1.0 for target in targets):
+        return targets
+    first = FIRST_SHARE / len(targets)
+    return [
+        target
+        for target in targets
+        if max(first, target.ramp(now)) * 2**32 > _draw(spread, target.address)
+    ]
+
+
 @attrs.define(eq=False, repr=False)
 class TargetTable:
     """Targets by the address of their agent."""
@@ -194,6 +232,9 @@
             self._targets_by_service = None
         target.service = announcement.service
         target.data_centre = announcement.data_centre
+        if announcement.incarnation not in ("", target.incarnation):
+            target.incarnation = announcement.incarnation
+            target.joined_at = now
         while target.opened_at and target.opened_at[0] < now - REPORT_DELAY_S:
             target.opened_at.popleft()
         return (
@@ -272,15 +313,14 @@
         if not usable:
             return None
         trusted = [target for target in usable if not target.doubtful(now)]
-        candidates = trusted or usable
+        candidates = _without_most_starting(trusted or usable, spread, now=now)
         least = min(target.load() for target in candidates)
         bearable = least * (1.0 + LOCAL_EXCESS)
 
         def rank(target: Target) -> tuple[bool, float, int]:
             load = target.load()
             local = target.data_centre == data_centre and load <= bearable
-            draw = zlib.crc32(b"%d/%s" % (spread, target.address.encode()))
-            return not local, load, draw
+            return not local, load, _draw(spread, target.address)
 
         target = min(candidates, key=rank)
         target.opened_at.append(now)
--- a/godwitturn/tests/test_transparent_targets.py
+++ b/godwitturn/tests/test_transparent_targets.py
@@ -20,6 +20,7 @@
     slots: int = 1,
     cold_ms: int = 0,
     data_centre: str = "a",
+    incarnation: str = "i/1",
 ) -> messages.Announcement:
     """Returns an announcement."""
     return messages.Announcement(
@@ -28,7 +29,7 @@
         data_centre=data_centre,
         run=run,
         sequence=sequence,
-        incarnation="i/1",
+        incarnation=incarnation,
         state=state,
         slots=slots,
         flows=flows,
@@ -166,6 +167,66 @@
         self.assertLess(max(flows.values()) / mean, 1.25)
 
 
+class TestSlowStart(TableCase):
+    """A target that joins others gets its share of openings gradually."""
+
+    joined_at = 100.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        for number in range(20):
+            self.table.announce(
+                f"old{number}", announcement(flows=50), now=0.0
+            )
+        self.table.announce("new", announcement(flows=0), now=self.joined_at)
+
+    def share(self, after_s: float) -> float:
+        """Returns the share of openings that would go to the new target."""
+        now = self.joined_at + after_s
+        for address in self.table.target_by_address:
+            self.table.hear(address, now=now)
+        chosen = 0
+        for spread in range(1000):
+            chosen += self.choose(now=now, spread=spread) == "new"
+            for target in self.table.target_by_address.values():
+                target.opened_at.clear()
+        return chosen / 1000
+
+    def test_share_grows(self) -> None:
+        even = 1 / 21
+        self.assertLess(self.share(0.0), 3 * even)
+        self.assertGreater(self.share(0.0), even)
+        self.assertLess(self.share(targets.RAMP_S / 2), 0.6)
+        self.assertEqual(1.0, self.share(targets.RAMP_S))
+
+    def test_restarted_agent_is_no_new_target(self) -> None:
+        now = self.joined_at + targets.RAMP_S
+        for run, incarnation in ((2, ""), (3, "i/1")):
+            self.table.announce(
+                "new",
+                announcement(run=run, incarnation=incarnation),
+                now=now,
+            )
+        self.assertEqual(1.0, self.share(targets.RAMP_S))
+
+    def test_new_start_of_a_target_is_new(self) -> None:
+        now = self.joined_at + targets.RAMP_S
+        self.table.announce(
+            "new", announcement(run=2, incarnation="i/2"), now=now
+        )
+        self.assertLess(self.share(targets.RAMP_S), 3 / 21)
+
+    def test_targets_that_start_together_share_openings(self) -> None:
+        for address in list(self.table.target_by_address):
+            self.table.remove(address)
+        for number in range(7):
+            self.table.announce(f"t{number}", announcement(), now=0.0)
+        chosen = collections.Counter(
+            self.choose(now=0.0, spread=spread) for spread in range(70)
+        )
+        self.assertEqual({10}, set(chosen.values()))
+
+
 class TestAnnouncements(TableCase):
     """Which announcement counts."""
 
