Pass an agent's openings as one value; share repeated pieces

No change of behaviour:

- Agent: openings and packets go through the steps as a Delivery instead of three arguments that were joined to one in two places; the answer to a packet of a flow that the target doesn't hold is made in one place (three before), and so is telling neighbours of a flow (two before).
- Choice of a target: the load of each candidate is computed once an opening, and no draws are made while no target is starting.
- The identity of a target's start is formatted and compared in one place.
- Stand-ins: one function returns a packet as a target does, and one makes an agent; the soak's client recognises repeated answers by one rule.

Tests keep their assertions.

--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -14,14 +14,11 @@
 import zlib
 
 from godwitturn import bytecode
-from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import balancer as balancers
-from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
-from godwitturn.core.transparent import target_watch
 from godwitturn.platform import packets
 from godwitturn.protocol import transparent
 from godwitturn.standins import transparent_world
@@ -134,14 +131,7 @@
 
 def measure_agent(flows: int) -> None:
     """Prints what an agent spends with a number of flows."""
-    node = agents.Agent(
-        node="side-1",
-        service="core",
-        data_centre="a",
-        run=1,
-        cold=cold_limit.ColdLimit(1.5, 5),
-        target=target_watch.TargetWatch("core"),
-    )
+    node = transparent_world.make_agent(cold_per_second=None)
     beat = heartbeats.Heartbeat("i-1", 1, 1, "core", False, 1, 0)
     node.handle_heartbeat(beat, now=NOW)
     for number in range(flows):
--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -46,13 +46,15 @@
     at: float
 
 
-def _absence(
-    balancer: str, forward: messages.Forward, segment: segments.Segment
-) -> messages.Send:
+def _absence(delivery: Delivery) -> messages.Send:
     """Tells a balancer that the target doesn't hold a packet's flow."""
-    if forward.search:
-        return messages.Send(balancer, messages.FlowAbsent(segment.flow_id))
-    return messages.Send(balancer, messages.FlowMissing(segment.data))
+    segment = delivery.segment
+    answer: messages.Message
+    if delivery.forward.search:
+        answer = messages.FlowAbsent(segment.flow_id)
+    else:
+        answer = messages.FlowMissing(segment.data)
+    return messages.Send(delivery.balancer, answer)
 
 
 @attrs.define(eq=False, repr=False)
@@ -201,15 +203,9 @@
             if delivery.at < since:
                 continue
             if delivery.segment.opening:
-                actions += self._refuse(
-                    delivery.balancer,
-                    delivery.segment,
-                    messages.Refusal.DOWN,
-                )
-                continue
-            actions.append(
-                _absence(delivery.balancer, delivery.forward, delivery.segment)
-            )
+                actions += self._refuse(delivery, messages.Refusal.DOWN)
+            else:
+                actions.append(_absence(delivery))
         return actions
 
     def take_earlier_record(
@@ -272,6 +268,7 @@
     ) -> list[messages.Action]:
         """Gives a client's packet to the target, or hands it back."""
         self.audience.meet(balancer, now=now)
+        delivery = Delivery(balancer, forward, segment, now)
         flow = self.flows.flow_by_id.get(segment.flow_id)
         if flow is not None:
             if segment.size and not flow.waiting:
@@ -279,17 +276,17 @@
             if flow.note_client(segment, balancer, now=now):
                 self.audience.changed = True
                 self.work.settle(segment.flow_id)
-            return [self._deliver(balancer, forward, segment, now=now)]
+            return [self._deliver(delivery, now=now)]
         if segment.opening:
-            return self._admit(balancer, forward, segment, now=now)
+            return self._admit(delivery, now=now)
         if self._knows_all_flows_of(forward.service):
-            return [_absence(balancer, forward, segment)]
+            return [_absence(delivery)]
         # The target may hold flows from before this agent started; it returns
         # packets of those that it doesn't hold.
         self._tried_by_id[segment.flow_id] = balancer
         if len(self._tried_by_id) > DELIVERIES_KEPT:
             self._tried_by_id.popitem(last=False)
-        return [self._deliver(balancer, forward, segment, now=now)]
+        return [self._deliver(delivery, now=now)]
 
     def _knows_all_flows_of(self, service: str) -> bool:
         """Returns whether the target can hold no flow unknown to the agent."""
@@ -309,32 +306,37 @@
         answer: messages.Message
         if flow is not None and flow.accepted:
             answer = messages.FlowHeld(flow_id)
-            if not flow.told:
-                flow.told = True
-                told = self.audience.tell_neighbours(balancer, flow_id)
-                return [messages.Send(balancer, answer), *told]
-        elif flow is None and self._knows_all_flows_of(query.service):
+            told = self._tell_neighbours(balancer, flow_id, flow)
+            return [messages.Send(balancer, answer), *told]
+        if flow is None and self._knows_all_flows_of(query.service):
             answer = messages.FlowAbsent(flow_id)
         else:
             answer = messages.FlowUnsure(flow_id)
         return [messages.Send(balancer, answer)]
 
-    def _admit(
+    def _tell_neighbours(
         self,
         balancer: str,
-        forward: messages.Forward,
-        segment: segments.Segment,
-        *,
-        now: float,
+        flow_id: segments.FlowId,
+        flow: agent_flows.Flow,
+    ) -> list[messages.Action]:
+        """Tells the other balancers of a data centre of a flow, once."""
+        if flow.told:
+            return []
+        flow.told = True
+        return self.audience.tell_neighbours(balancer, flow_id)
+
+    def _admit(
+        self, opening: Delivery, *, now: float
     ) -> list[messages.Action]:
-        reason = self._refusal(forward)
+        reason = self._refusal(opening.forward)
         if reason is not None:
-            return self._refuse(balancer, segment, reason)
-        if segment.flow_id in self._waiting:
+            return self._refuse(opening, reason)
+        if opening.segment.flow_id in self._waiting:
             return []
         if self._waiting or self._must_wait(0.0, now=now):
-            return self._wait(balancer, forward, segment, now=now)
-        return self._open(balancer, forward, segment, now=now)
+            return self._wait(opening, now=now)
+        return self._open(opening, now=now)
 
     def _must_wait(self, waited_s: float, *, now: float) -> bool:
         """Returns whether an opening must wait for the target.
@@ -351,29 +353,23 @@
             slots=self.target.slots, now=now
         )
 
-    def _open(
-        self,
-        balancer: str,
-        forward: messages.Forward,
-        segment: segments.Segment,
-        *,
-        now: float,
-    ) -> list[messages.Action]:
+    def _open(self, opening: Delivery, *, now: float) -> list[messages.Action]:
         """Gives an opening to the target."""
         if self.target.cold_ms(now) > 0:
             self.cold.admit(now=now)
-        self.work.open(segment.flow_id, now=now)
-        self.flows.flow_by_id[segment.flow_id] = agent_flows.Flow(
-            balancer, now, now
+        flow_id = opening.segment.flow_id
+        self.work.open(flow_id, now=now)
+        self.flows.flow_by_id[flow_id] = agent_flows.Flow(
+            opening.balancer, now, now
         )
         self.audience.changed = True
         return [
-            self._deliver(balancer, forward, segment, now=now),
+            self._deliver(opening, now=now),
             messages.Record(
                 "opening_delivered",
                 {
-                    "flow": segments.flow_name(segment.flow_id),
-                    "balancer": balancer,
+                    "flow": segments.flow_name(flow_id),
+                    "balancer": opening.balancer,
                     "incarnation": self.target.incarnation,
                     "state": self.target.state.name.lower(),
                     "state_age_ms": round(
@@ -383,31 +379,23 @@
             ),
         ]
 
-    def _wait(
-        self,
-        balancer: str,
-        forward: messages.Forward,
-        segment: segments.Segment,
-        *,
-        now: float,
-    ) -> list[messages.Action]:
+    def _wait(self, opening: Delivery, *, now: float) -> list[messages.Action]:
         """Makes an opening wait for the target, if that can help."""
-        cold = self.target.cold_ms(now) > 0
-        if cold and len(self._waiting) >= self.cold.max_waiting:
-            return self._refuse(balancer, segment, messages.Refusal.COLD)
-        self._waiting[segment.flow_id] = Delivery(
-            balancer, forward, segment, now
-        )
+        cold_ms = self.target.cold_ms(now)
+        if cold_ms > 0 and len(self._waiting) >= self.cold.max_waiting:
+            return self._refuse(opening, messages.Refusal.COLD)
+        flow_id = opening.segment.flow_id
+        self._waiting[flow_id] = opening
         self.audience.changed = True
         return [
-            messages.Send(balancer, messages.FlowHeld(segment.flow_id)),
+            messages.Send(opening.balancer, messages.FlowHeld(flow_id)),
             messages.Record(
                 "opening_waits",
                 {
-                    "flow": segments.flow_name(segment.flow_id),
-                    "balancer": balancer,
+                    "flow": segments.flow_name(flow_id),
+                    "balancer": opening.balancer,
                     "waiting": len(self._waiting),
-                    "cold_ms": self.target.cold_ms(now),
+                    "cold_ms": cold_ms,
                     "per_second": self.cold.per_second,
                 },
             ),
@@ -425,16 +413,9 @@
                 reason = messages.Refusal.COLD
             del self._waiting[flow_id]
             if reason is not None:
-                actions += self._refuse(
-                    opening.balancer, opening.segment, reason
-                )
+                actions += self._refuse(opening, reason)
             else:
-                actions += self._open(
-                    opening.balancer,
-                    opening.forward,
-                    opening.segment,
-                    now=now,
-                )
+                actions += self._open(opening, now=now)
         return actions
 
     def _refusal(self, forward: messages.Forward) -> messages.Refusal | None:
@@ -449,35 +430,29 @@
         return None
 
     def _refuse(
-        self,
-        balancer: str,
-        segment: segments.Segment,
-        reason: messages.Refusal,
+        self, opening: Delivery, reason: messages.Refusal
     ) -> list[messages.Action]:
         self.count(f"refused_{reason.name.lower()}")
+        segment = opening.segment
+        refused = messages.Refused(reason, segment.data)
         return [
-            messages.Send(balancer, messages.Refused(reason, segment.data)),
+            messages.Send(opening.balancer, refused),
             messages.Record(
                 "opening_returned",
                 {
                     "flow": segments.flow_name(segment.flow_id),
-                    "balancer": balancer,
+                    "balancer": opening.balancer,
                     "reason": reason.name.lower(),
                     "incarnation": self.target.incarnation,
                 },
             ),
         ]
 
-    def _deliver(
-        self,
-        balancer: str,
-        forward: messages.Forward,
-        segment: segments.Segment,
-        *,
-        now: float,
-    ) -> messages.Deliver:
+    def _deliver(self, delivery: Delivery, *, now: float) -> messages.Deliver:
+        forward, segment = delivery.forward, delivery.segment
+        delivery.at = now
         self._tag = self._tag % 0xFFFFFFFF + 1
-        self._deliveries[self._tag] = Delivery(balancer, forward, segment, now)
+        self._deliveries[self._tag] = delivery
         if len(self._deliveries) > DELIVERIES_KEPT:
             self._deliveries.popitem(last=False)
         wants_answer = segment.opening or segment.size or forward.search
@@ -532,10 +507,9 @@
                         flow.balancer, messages.FlowHeld(segment.flow_id)
                     )
                 )
-        if flow.balancer and not flow.told:
-            flow.told = True
-            actions += self.audience.tell_neighbours(
-                flow.balancer, segment.flow_id
+        if flow.balancer:
+            actions += self._tell_neighbours(
+                flow.balancer, segment.flow_id, flow
             )
         if segment.ending and not flow.target_ended:
             flow.target_ended = True
@@ -571,21 +545,17 @@
         if delivery is None:
             self.count("returned_unknown")
             return []
-        data = delivery.forward.data
         flow = self.flows.flow_by_id.get(segment.flow_id)
         if segment.opening:
             self._forget(segment.flow_id)
-            return self._refuse(
-                delivery.balancer, delivery.segment, messages.Refusal.FULL
-            )
+            return self._refuse(delivery, messages.Refusal.FULL)
         if flow is not None:
             self._forget(segment.flow_id)
             self.audience.changed = True
         if delivery.forward.search:
-            absent = messages.FlowAbsent(segment.flow_id)
-            return [messages.Send(delivery.balancer, absent)]
+            return [_absence(delivery)]
         return [
-            messages.Send(delivery.balancer, messages.FlowMissing(data)),
+            _absence(delivery),
             messages.Record(
                 "flow_not_held",
                 {
--- a/godwitturn/core/transparent/flow_record.py
+++ b/godwitturn/core/transparent/flow_record.py
@@ -70,6 +70,11 @@
     born: int
     flow_by_id: dict[segments.FlowId, RecordedFlow]
 
+    @property
+    def incarnation(self) -> str:
+        """Identity of the target's start."""
+        return heartbeats.incarnation(self.target_id, self.born)
+
 
 def _drift(later: int, earlier: int) -> int:
     """Returns how far a sequence number has gone on."""
@@ -158,10 +163,7 @@
         record = self._earlier
         if record is None or heartbeat is None:
             return []
-        same = (heartbeat.target_id, heartbeat.born) == (
-            record.target_id,
-            record.born,
-        )
+        same = heartbeat.incarnation == record.incarnation
         if same or heartbeat.service != record.service:
             self._earlier = None
             return []
@@ -179,8 +181,8 @@
                 "recorded_flows_reset",
                 {
                     "flows": len(gone),
-                    "earlier": f"{record.target_id}/{record.born}",
-                    "incarnation": f"{heartbeat.target_id}/{heartbeat.born}",
+                    "earlier": record.incarnation,
+                    "incarnation": heartbeat.incarnation,
                 },
             )
         ]
@@ -239,10 +241,7 @@
         written = self._written
         if written is None:
             return bool(record.flow_by_id)
-        if (written.target_id, written.born) != (
-            record.target_id,
-            record.born,
-        ):
+        if written.incarnation != record.incarnation:
             return True
         known = written.flow_by_id
         return known.keys() != record.flow_by_id.keys() or any(
--- a/godwitturn/core/transparent/heartbeats.py
+++ b/godwitturn/core/transparent/heartbeats.py
@@ -3,6 +3,11 @@
 import attrs
 
 
+def incarnation(target_id: str, born: int) -> str:
+    """Returns the identity of one start of a target."""
+    return f"{target_id}/{born}"
+
+
 @attrs.define(frozen=True, repr=False)
 class Heartbeat:
     """What a target says of itself.
@@ -24,3 +29,8 @@
     draining: bool
     slots: int
     cold_ms: int
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the target's start."""
+        return incarnation(self.target_id, self.born)
--- a/godwitturn/core/transparent/target_watch.py
+++ b/godwitturn/core/transparent/target_watch.py
@@ -68,9 +68,7 @@
     @property
     def incarnation(self) -> str:
         """Identity of the target's present start, empty if unknown."""
-        if self.heartbeat is None:
-            return ""
-        return f"{self.heartbeat.target_id}/{self.heartbeat.born}"
+        return self.heartbeat.incarnation if self.heartbeat else ""
 
     @property
     def slots(self) -> int:
@@ -120,11 +118,7 @@
             return Verdict.OTHER_SERVICE
         if known is None:
             return Verdict.RESTARTED
-        same = (heartbeat.target_id, heartbeat.born) == (
-            known.target_id,
-            known.born,
-        )
-        if same:
+        if heartbeat.incarnation == known.incarnation:
             late = heartbeat.sequence <= known.sequence
             return Verdict.LATE if late else Verdict.UNCHANGED
         superseded = self.down or now - self.heartbeat_at > SUPERSEDED_S
--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -135,8 +135,10 @@
     Pattern: slow start. Balancers choose at the same time and hear of each
     other's choices later, so a share of openings bounds what a target gets.
     Targets that joined together, and have no others beside them, all stay.
+    When none is starting, as at most times, nothing is drawn.
     """
-    if all(target.ramp(now) < 1.0 for target in targets):
+    starting = sum(target.ramp(now) < 1.0 for target in targets)
+    if starting in (0, len(targets)):
         return targets
     first = FIRST_SHARE / len(targets)
     return [
@@ -314,11 +316,13 @@
             return None
         trusted = [target for target in usable if not target.doubtful(now)]
         candidates = _without_most_starting(trusted or usable, spread, now=now)
-        least = min(target.load() for target in candidates)
-        bearable = least * (1.0 + LOCAL_EXCESS)
+        load_by_address = {
+            target.address: target.load() for target in candidates
+        }
+        bearable = min(load_by_address.values()) * (1.0 + LOCAL_EXCESS)
 
         def rank(target: Target) -> tuple[bool, float, int]:
-            load = target.load()
+            load = load_by_address[target.address]
             local = target.data_centre == data_centre and load <= bearable
             return not local, load, _draw(spread, target.address)
 
--- a/godwitturn/soak/clients.py
+++ b/godwitturn/soak/clients.py
@@ -245,10 +245,9 @@
         name = target.decode(errors="replace")
         port, _, number = body.partition(b"/")
         own = port == b"%d" % flow.flow_id[1]
-        if own and number.isdigit() and int(number) < flow.sent:
+        answered = flow.sent - 1 if flow.request else flow.sent
+        if own and number.isdigit() and int(number) <= answered:
             return  # a second answer to a request that was repeated
-        if own and not flow.request and int(number or 0) == flow.sent:
-            return
         expected = body == flow.request and flow.target in ("", name)
         self._history.records.append(
             histories.Answered(
--- a/godwitturn/soak/targets.py
+++ b/godwitturn/soak/targets.py
@@ -23,7 +23,6 @@
 RECEIVE_BYTES = 2048
 SERVICE_S = 0.01
 SLOTS = 4
-_BOUNCED_OFFSET = 28
 
 
 class Target:
@@ -186,10 +185,7 @@
             flags = transparent_world.SYN | transparent_world.ACK
             self._send(flow_id, flags, b"")
         elif flow_id not in self._flows:
-            flags = data[_BOUNCED_OFFSET] | transparent_world.BOUNCED
-            bounced = bytearray(data)
-            bounced[_BOUNCED_OFFSET] = flags
-            self._sendto(bytes(bounced))
+            self._sendto(transparent_world.returned(data))
         elif segment.size:
             body = data[-segment.size :]
             answer = start.name.encode() + b" " + body
--- a/godwitturn/standins/transparent_world.py
+++ b/godwitturn/standins/transparent_world.py
@@ -31,6 +31,7 @@
 ACK = 32
 RST = 128
 HEADER = struct.Struct("<HIHIIIIIBBH")
+FLAGS_OFFSET = 28
 DELAY_S = 0.004
 ROUTE_ADDRESS = 0xC6120001
 ROUTE_PORT = 443
@@ -66,6 +67,31 @@
     return header + data
 
 
+def returned(data: bytes) -> bytes:
+    """Returns a packet as a target that doesn't hold its flow returns it."""
+    flags = data[FLAGS_OFFSET] | BOUNCED
+    return data[:FLAGS_OFFSET] + bytes((flags,)) + data[FLAGS_OFFSET + 1 :]
+
+
+def make_agent(
+    *,
+    node: str = "side-1",
+    service: str = "core",
+    data_centre: str = "a",
+    run: int = 1,
+    cold_per_second: float | None = 0.0,
+) -> agents.Agent:
+    """Returns an agent that knows nothing of its target."""
+    return agents.Agent(
+        node=node,
+        service=service,
+        data_centre=data_centre,
+        run=run,
+        cold=cold_limit.ColdLimit(1.5, 5, per_second=cold_per_second),
+        target=target_watch.TargetWatch(service),
+    )
+
+
 def configuration(
     version: int = 1,
     *,
@@ -131,8 +157,7 @@
             return [packet(flow_id, SYN | ACK, from_target=True)]
         if segment.opening or flow_id not in self.flows:
             self.strangers += 1
-            flags = data[28] | BOUNCED
-            return [data[:28] + bytes((flags,)) + data[29:]]
+            return [returned(data)]
         if segment.size:
             self.requests[flow_id] = self.requests.get(flow_id, 0) + 1
             return [packet(flow_id, ACK, data=b"answer", from_target=True)]
@@ -275,13 +300,12 @@
 
     def start_agent(self, vm: ModelVM) -> agents.Agent:
         """Starts an agent, which knows nothing."""
-        node = agents.Agent(
+        node = make_agent(
             node=vm.address,
             service=vm.service,
             data_centre=vm.data_centre,
             run=self.random.getrandbits(32),
-            cold=cold_limit.ColdLimit(1.5, 5),
-            target=target_watch.TargetWatch(vm.service),
+            cold_per_second=None,
         )
         vm.agent = node
         self._tick_agent(vm, node)
--- a/godwitturn/tests/test_flow_record.py
+++ b/godwitturn/tests/test_flow_record.py
@@ -2,15 +2,14 @@
 
 import unittest
 
-from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import agent_flows
-from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import flow_record
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
 from godwitturn.core.transparent import target_watch
 from godwitturn.protocol import flow_record as codec
+from godwitturn.standins import transparent_world
 
 LONG = (0x0A000001, 4000, 0xC6120001, 443)
 OTHER = (0x0A000002, 4001, 0xC6120001, 443)
@@ -211,14 +210,7 @@
     """An agent that starts beside a target that went on."""
 
     def setUp(self) -> None:
-        self.agent = agents.Agent(
-            node="side-1",
-            service="core",
-            data_centre="a",
-            run=1,
-            cold=cold_limit.ColdLimit(1.5, 5, per_second=0.0),
-            target=target_watch.TargetWatch("core"),
-        )
+        self.agent = transparent_world.make_agent()
         self.record = flow_record.FlowRecord(
             "core", "i-1", 1000, {LONG: recorded(77)}
         )
--- a/godwitturn/tests/test_work_limit.py
+++ b/godwitturn/tests/test_work_limit.py
@@ -6,11 +6,9 @@
 from unittest import mock
 
 from godwitturn.core.transparent import agent as agents
-from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
-from godwitturn.core.transparent import target_watch
 from godwitturn.core.transparent import work_limit
 from godwitturn.platform import packets
 from godwitturn.standins import transparent_world
@@ -98,14 +96,7 @@
         self._numbers = itertools.count()
         self._work = 0
         self._free_at = [0.0] * SLOTS
-        self._agent = agents.Agent(
-            node="side-1",
-            service="core",
-            data_centre="a",
-            run=1,
-            cold=cold_limit.ColdLimit(1.5, 5, per_second=0.0),
-            target=target_watch.TargetWatch("core"),
-        )
+        self._agent = transparent_world.make_agent()
         beat = heartbeats.Heartbeat("i-1", 1, 1, "core", False, SLOTS, 0)
         self._agent.handle_heartbeat(beat, now=0.0)
         for number in range(clients):
