Finish the actions of a control event before the next event

Cause: sending over ZeroMQ also receives, and a message received so was handled inside the loop over the actions of the event before it. A confirmation that arrived while a woken daemon sent its digests ended the fence first; the FenceChanged of the earlier event, last in its list, then set it again. The node held itself confirmed and never told the core anew. Events now wait for the actions of those before them.

Ruled out: uplinks, reports and connections.

The new test fails before.

--- a/godwitturn/daemons/control.py
+++ b/godwitturn/daemons/control.py
@@ -1,5 +1,6 @@
 """Configuration and membership of one daemon: I/O around `ControlNode`."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Mapping
 import random
@@ -109,6 +110,10 @@
         self._announcements: dict[
             identity.MemberId, membership.Announcement
         ] = {}
+        self._waiting: collections.deque[control_events.ControlEvent] = (
+            collections.deque()
+        )
+        self._is_handling = False
         runtime.metrics.gauges["control"] = self._gauges
 
     def _gauges(self) -> dict[str, float]:
@@ -187,8 +192,23 @@
     # Events and actions of the node
 
     def _handle(self, event: control_events.ControlEvent) -> None:
-        for action in self.node.handle(event, now=clock.now()):
-            self._act(action)
+        """Handles an event once the actions of earlier ones are done.
+
+        Sending may receive a message. Were that handled at once, what it
+        changes would be undone by the rest of the earlier actions, such as a
+        fence that it ended.
+        """
+        self._waiting.append(event)
+        if self._is_handling:
+            return
+        self._is_handling = True
+        try:
+            while self._waiting:
+                event = self._waiting.popleft()
+                for action in self.node.handle(event, now=clock.now()):
+                    self._act(action)
+        finally:
+            self._is_handling = False
 
     def _act(self, action: control_events.ControlAction) -> None:
         match action:
--- /dev/null
+++ b/godwitturn/tests/test_daemon_control.py
@@ -0,0 +1,107 @@
+"""Tests of the daemon's side of the control node."""
+
+from collections.abc import Callable
+import contextlib
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+import attrs
+
+from godwitturn.core import actions
+from godwitturn.core import addresses
+from godwitturn.core import control_events
+from godwitturn.daemons import control
+from godwitturn.daemons import control_channel
+from godwitturn.daemons import runtime as runtimes
+from godwitturn.settings import load
+from godwitturn.standins import deployments
+from godwitturn.standins import system_runs
+
+
+@attrs.define
+class _Node:
+    """A node that any message of its peer confirms."""
+
+    peer: deployments.MemberPlan
+
+    def handle(
+        self, event: control_events.ControlEvent, *, now: float
+    ) -> list[control_events.ControlAction]:
+        del now
+        peer = self.peer.member().member_id
+        match event:
+            case control_events.LocalAnnouncement(address):
+                key = self.peer.public_key
+                return [
+                    control_events.ConnectPeer(peer, address, key),
+                    control_events.SendToPeer(peer, b"digest"),
+                    actions.FenceChanged(True),
+                ]
+            case control_events.PeerMessage():
+                return [actions.FenceChanged(False)]
+        return []
+
+
+class _Channel:
+    """Finds a message whenever it sends, as ZeroMQ sockets may."""
+
+    def __init__(
+        self,
+        *,
+        address: addresses.Address,
+        keys: control_channel.KeyPair,
+        is_allowed: Callable[[bytes], bool],
+        receive: control_channel.Receiver,
+    ) -> None:
+        del keys, is_allowed
+        self.address = address
+        self.sent: list[bytes] = []
+        self._receive = receive
+
+    def connect(self, public_key: bytes, address: addresses.Address) -> None:
+        """Needs no connection."""
+
+    def send(self, public_key: bytes, message: bytes) -> bool:
+        self.sent.append(message)
+        self._receive(public_key, b"confirmations")
+        return True
+
+
+class TestOrder(unittest.TestCase):
+    """Messages that are received while the node's actions are carried out."""
+
+    def setUp(self) -> None:
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        directory = stack.enter_context(tempfile.TemporaryDirectory())
+        path = pathlib.Path(directory) / "agent.toml"
+        deployment = system_runs.SMALL
+        plan = deployments.target_plans(deployment)[0]
+        deployments.write_agent_settings(
+            path,
+            deployment,
+            plan,
+            store_url="http://127.0.0.1:1",
+            target_url="http://127.0.0.1:1",
+            seeds={},
+        )
+        settings = load.load_or_exit(path)
+        self.fences: list[bool] = []
+        with mock.patch.object(control_channel, "ControlChannel", _Channel):
+            self.service = control.ControlService(
+                settings,
+                runtimes.Runtime(settings),
+                changed=lambda: None,
+                fenced=self.fences.append,
+            )
+        vars(self.service)["node"] = _Node(
+            deployments.balancer_plans(deployment)[0]
+        )
+
+    def test_fence_of_an_earlier_event_comes_first(self) -> None:
+        """Guards against a daemon that stays fenced with a confirmed view."""
+        self.service.announce(draining=False)
+        self.assertEqual([b"digest"], vars(self.service.channel)["sent"])
+        self.assertEqual([True, False], self.fences)
