Put targets that break requests off behind others

An agent now counts how the latest ten requests of its target ended, by answer or by reset, and announces a target that broke off three of them; nine answers of ten make it well again. Balancers give such a target a quarter of an even share of openings, so that its recovery shows, unless most targets of the service fail. Answers are not read, so targets that answer with errors aren't told, and silence isn't judged.

Ruled out: agents that took the target for another one (its incarnation is the same throughout), resets by balancers (none names its agent).

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -17,6 +17,7 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import relay as relays
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import target_health
 from godwitturn.core.transparent import target_watch
 from godwitturn.core.transparent import work_limit
 
@@ -69,6 +70,7 @@
         cold: Limit of openings while the target is cold.
         work: Limit of openings while the target has enough work.
         target: The target.
+        health: How the target ends its requests.
         audience: Balancers that are told of it.
         flows: Flows of the target.
         evacuated: Whether the data centre is to get nothing new.
@@ -85,6 +87,9 @@
     run: int
     cold: cold_limit.ColdLimit
     target: target_watch.TargetWatch
+    health: target_health.TargetHealth = attrs.field(
+        factory=target_health.TargetHealth
+    )
     work: work_limit.WorkLimit = attrs.field(factory=work_limit.WorkLimit)
     audience: audiences.Audience = attrs.field(factory=audiences.Audience)
     flows: agent_flows.FlowTable = attrs.field(factory=agent_flows.FlowTable)
@@ -132,6 +137,8 @@
         if verdict is target_watch.Verdict.UNCHANGED:
             return []
         restarted = verdict is target_watch.Verdict.RESTARTED
+        if restarted:
+            self.health.clear()
         if restarted and self.target.witnessed:
             self.flows.flow_by_id.clear()
             self.work.clear()
@@ -491,6 +498,7 @@
         if segment.size and flow.waiting:
             flow.waiting = False
             self.work.settle(segment.flow_id)
+            actions += self._judge(segment, broken_off=False)
             actions.append(
                 messages.Observe(
                     "answer_time",
@@ -515,12 +523,35 @@
             flow.target_ended = True
             self.audience.changed = True
         if segment.resetting:
+            # Data that comes after the end of a flow is reset rightly.
+            if flow.waiting and not (flow.client_ended or flow.target_ended):
+                actions += self._judge(segment, broken_off=True)
             self._forget(segment.flow_id)
             self.audience.changed = True
         if self._waiting:
             actions += self._admit_waiting(now)
         return actions
 
+    def _judge(
+        self, segment: segments.Segment, *, broken_off: bool
+    ) -> list[messages.Action]:
+        """Judges the target by how it ended a request."""
+        if not self.health.note(broken_off=broken_off):
+            return []
+        self.audience.changed = True
+        return [
+            messages.Record(
+                "target_judged",
+                {
+                    "failing": self.health.failing,
+                    "incarnation": self.target.incarnation,
+                    "broken_off": self.health.broken_off,
+                    "requests": self.health.requests,
+                    "flow": segments.flow_name(segment.flow_id),
+                },
+            )
+        ]
+
     def _forget(self, flow_id: segments.FlowId) -> None:
         """Notes that the target holds a flow no longer."""
         self.flows.flow_by_id.pop(flow_id, None)
@@ -629,6 +660,7 @@
             cold_ms=self.target.cold_ms(now),
             balancers=balancers,
             revision=self.relay.revision,
+            failing=self.health.failing,
         )
         return [
             messages.Send(balancer, announcement)
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -655,6 +655,7 @@
                     "service": announcement.service,
                     "state": announcement.state.name.lower(),
                     "incarnation": announcement.incarnation,
+                    "failing": announcement.failing,
                     "sequence": announcement.sequence,
                 },
             ),
--- a/godwitturn/core/transparent/beliefs.py
+++ b/godwitturn/core/transparent/beliefs.py
@@ -29,6 +29,7 @@
                     else "unannounced"
                 ),
                 "load": round(target.load(), 2),
+                "failing": target.failing,
                 "flows_here": flows.get(address, 0),
             }
             for address, target in balancer.table.target_by_address.items()
@@ -44,6 +45,7 @@
         "state": target.state.name.lower(),
         "incarnation": target.incarnation,
         "heartbeat_age_s": round(now - target.heartbeat_at, 2),
+        "failing": agent.health.failing,
         "evacuated": agent.evacuated,
         "revision": agent.revision,
         "flows": len(agent.flows.flow_by_id),
--- a/godwitturn/core/transparent/catalogue.py
+++ b/godwitturn/core/transparent/catalogue.py
@@ -24,6 +24,7 @@
     "target_state": 625,
     "target_down": 626,
     "target_departs": 620,
+    "target_judged": 630,
     "heartbeat_ignored": 627,
     "malformed_heartbeat": 628,
     "malformed_datagram": 629,
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -158,6 +158,7 @@
         balancers: Addresses of the balancers that the agent knows; empty in
             most announcements.
         revision: Store revision of its copy of the operators' documents.
+        failing: Whether the target breaks off many of its requests.
     """
 
     node: str
@@ -173,6 +174,7 @@
     cold_ms: int
     balancers: tuple[str, ...]
     revision: int
+    failing: bool = False
 
 
 @attrs.define(frozen=True, repr=False)
--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -32,6 +32,9 @@
 RAMP_S = 5.0
 # Share of openings that it may get at first, as a multiple of an even share.
 FIRST_SHARE = 2.0
+# Share of openings by which a failing target is tried again, as a multiple of
+# an even share.
+TRIAL_SHARE = 0.25
 # How many flows' worth of load a cold target counts as carrying already.
 COLD_LOAD = 4.0
 
@@ -101,6 +104,11 @@
         """Returns the share of openings that the target may get, up to 1."""
         return min(1.0, (now - self.joined_at) / RAMP_S)
 
+    @property
+    def failing(self) -> bool:
+        """Whether the target breaks off many of its requests."""
+        return self.announcement is not None and self.announcement.failing
+
     def load(self) -> float:
         """Returns the flows a slot, with openings that aren't reported."""
         if self.announcement is None:
@@ -127,6 +135,23 @@
     return zlib.crc32(b"%d/%s" % (spread, address.encode()))
 
 
+def _without_most_failing(targets: list[Target], spread: int) -> list[Target]:
+    """Leaves out targets that break requests off, for most openings.
+
+    If most targets do, the reason isn't theirs, and the rest couldn't bear the
+    work of all; then none is left out.
+    """
+    failing = sum(target.failing for target in targets)
+    if failing == 0 or 2 * failing > len(targets):
+        return targets
+    trial = TRIAL_SHARE / len(targets)
+    return [
+        target
+        for target in targets
+        if not target.failing or trial * 2**32 > _draw(spread, target.address)
+    ]
+
+
 def _without_most_starting(
     targets: list[Target], spread: int, *, now: float
 ) -> list[Target]:
@@ -218,7 +243,8 @@
         """Takes an announcement.
 
         Returns:
-            Whether the target changed in state, service or incarnation.
+            Whether the target changed in state, service, incarnation or in
+            whether it is failing.
         """
         target = self.add(address, now=now)
         known = target.announcement
@@ -244,6 +270,7 @@
             or known.state != announcement.state
             or known.service != announcement.service
             or known.incarnation != announcement.incarnation
+            or known.failing != announcement.failing
         )
 
     def forget_lost(self, *, now: float, after_s: float) -> list[str]:
@@ -315,7 +342,8 @@
         if not usable:
             return None
         trusted = [target for target in usable if not target.doubtful(now)]
-        candidates = _without_most_starting(trusted or usable, spread, now=now)
+        working = _without_most_failing(trusted or usable, spread)
+        candidates = _without_most_starting(working, spread, now=now)
         load_by_address = {
             target.address: target.load() for target in candidates
         }
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -73,6 +73,7 @@
                 message.cold_ms,
                 message.balancers,
                 message.revision,
+                message.failing,
             ]
             return _pack(_ANNOUNCEMENT, fields)
         case messages.Greeting():
@@ -194,6 +195,7 @@
     cold_ms: Any,
     balancers: Any,
     revision: Any,
+    failing: Any = False,
 ) -> messages.Announcement:
     return messages.Announcement(
         node=str(node),
@@ -209,6 +211,7 @@
         cold_ms=int(cold_ms),
         balancers=_texts(balancers),
         revision=int(revision),
+        failing=bool(failing),
     )
 
 
--- a/godwitturn/standins/transparent_world.py
+++ b/godwitturn/standins/transparent_world.py
@@ -126,6 +126,7 @@
         openings: Times at which it took new flows.
         strangers: Packets of flows that it doesn't hold.
         refused: Flows whose packets it answers with a reset.
+        breaks_off: Whether it resets flows in place of answers.
         full: Whether it returns openings.
         draining: Whether it says that it leaves.
         cold_ms: How long it stays cold, as it says.
@@ -138,6 +139,7 @@
     openings: list[float] = attrs.field(factory=list)
     strangers: int = 0
     refused: set[segments.FlowId] = attrs.field(factory=set)
+    breaks_off: bool = False
     full: bool = False
     draining: bool = False
     cold_ms: int = 0
@@ -158,6 +160,12 @@
         if segment.opening or flow_id not in self.flows:
             self.strangers += 1
             return [returned(data)]
+        if segment.size and self.breaks_off:
+            self.flows.discard(flow_id)
+            return [packet(flow_id, RST, from_target=True)]
+        if segment.ending:
+            self.flows.discard(flow_id)
+            return [packet(flow_id, FIN | ACK, from_target=True)]
         if segment.size:
             self.requests[flow_id] = self.requests.get(flow_id, 0) + 1
             return [packet(flow_id, ACK, data=b"answer", from_target=True)]
@@ -463,6 +471,11 @@
         if client.answers < expected and not client.resets:
             self.send(packet(client.flow_id, ACK, data=b"request"))
 
+    def close(self, client: ModelClient) -> None:
+        """Ends a flow."""
+        if client.accepted and not client.resets:
+            self.send(packet(client.flow_id, FIN | ACK))
+
     def send(self, data: bytes) -> None:
         """Passes a client's packet through the routers (hash by `mod`)."""
         if not self.rotation or self.random.random() < self.loss:
--- a/godwitturn/tests/test_transparent_messages.py
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -31,6 +31,7 @@
         cold_ms=0,
         balancers=("10.0.0.1", "10.0.0.2"),
         revision=7,
+        failing=True,
     ),
     messages.Greeting(12, True, 1.5, False, "a", 9, True),
     messages.FlowsListed(((1, 2, 3, 4), (5, 6, 7, 8))),
--- a/godwitturn/tests/test_transparent_targets.py
+++ b/godwitturn/tests/test_transparent_targets.py
@@ -21,6 +21,7 @@
     cold_ms: int = 0,
     data_centre: str = "a",
     incarnation: str = "i/1",
+    failing: bool = False,
 ) -> messages.Announcement:
     """Returns an announcement."""
     return messages.Announcement(
@@ -37,6 +38,7 @@
         cold_ms=cold_ms,
         balancers=(),
         revision=0,
+        failing=failing,
     )
 
 
@@ -227,6 +229,48 @@
         self.assertEqual({10}, set(chosen.values()))
 
 
+class TestFailing(TableCase):
+    """Targets that break requests off have the least load."""
+
+    def announce(self, number: int, *, failing: bool) -> bool:
+        return self.table.announce(
+            f"t{number}",
+            announcement(
+                sequence=1 + failing, flows=2 - failing, failing=failing
+            ),
+            now=0.0,
+        )
+
+    def shares(self, *, failing: int) -> list[float]:
+        """Returns the shares of ten targets, of which the first ones fail."""
+        for number in range(10):
+            self.announce(number, failing=number < failing)
+        chosen: collections.Counter[str | None] = collections.Counter()
+        for spread in range(2000):
+            chosen[self.choose(spread=spread)] += 1
+            for target in self.table.target_by_address.values():
+                target.opened_at.clear()
+        return [chosen[f"t{number}"] / 2000 for number in range(10)]
+
+    def test_failing_target_is_tried_with_few_openings(self) -> None:
+        failing, *working = self.shares(failing=1)
+        self.assertLess(failing, 0.5 / 10)
+        self.assertGreater(failing, 0.0)
+        self.assertGreater(min(working), 0.5 / 9)
+
+    def test_most_targets_fail(self) -> None:
+        shares = self.shares(failing=6)
+        self.assertAlmostEqual(1.0, sum(shares[:6]))
+
+    def test_change_of_the_verdict_is_news(self) -> None:
+        self.announce(0, failing=False)
+        self.assertTrue(self.announce(0, failing=True))
+
+    def test_only_failing_targets_are_left(self) -> None:
+        self.announce(0, failing=True)
+        self.assertEqual("t0", self.choose())
+
+
 class TestAnnouncements(TableCase):
     """Which announcement counts."""
 
