Judge targets also by the clients that give up waiting

Cause: a target that takes requests and answers none keeps its place. Each client that gives up ends its flow, which makes the target the one with the least load, so it gets new flows in place of those. Failing targets may now be a third of a service at most, where half were: clients give up for overload as well, and half of the targets couldn't bear the work of all.

A client that ends a flow after waiting 0.5 s or longer counts as a request that failed; one that leaves sooner tells nothing of the target.

Ruled out: long flows that stay at the target cause the rest of what is lost (each client loses one request before it leaves).

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -280,10 +280,14 @@
         if flow is not None:
             if segment.size and not flow.waiting:
                 self.work.ask(segment.flow_id, now=now)
+            judged: list[messages.Action] = []
             if flow.note_client(segment, balancer, now=now):
                 self.audience.changed = True
                 self.work.settle(segment.flow_id)
-            return [self._deliver(delivery, now=now)]
+                waited_s = now - flow.asked_at
+                if flow.waiting and waited_s > target_health.GIVEN_UP_S:
+                    judged = self._judge(segment, failed=True)
+            return [self._deliver(delivery, now=now), *judged]
         if segment.opening:
             return self._admit(delivery, now=now)
         if self._knows_all_flows_of(forward.service):
@@ -498,7 +502,7 @@
         if segment.size and flow.waiting:
             flow.waiting = False
             self.work.settle(segment.flow_id)
-            actions += self._judge(segment, broken_off=False)
+            actions += self._judge(segment, failed=False)
             actions.append(
                 messages.Observe(
                     "answer_time",
@@ -525,7 +529,7 @@
         if segment.resetting:
             # Data that comes after the end of a flow is reset rightly.
             if flow.waiting and not (flow.client_ended or flow.target_ended):
-                actions += self._judge(segment, broken_off=True)
+                actions += self._judge(segment, failed=True)
             self._forget(segment.flow_id)
             self.audience.changed = True
         if self._waiting:
@@ -533,10 +537,10 @@
         return actions
 
     def _judge(
-        self, segment: segments.Segment, *, broken_off: bool
+        self, segment: segments.Segment, *, failed: bool
     ) -> list[messages.Action]:
         """Judges the target by how it ended a request."""
-        if not self.health.note(broken_off=broken_off):
+        if not self.health.note(failed=failed):
             return []
         self.audience.changed = True
         return [
@@ -545,7 +549,7 @@
                 {
                     "failing": self.health.failing,
                     "incarnation": self.target.incarnation,
-                    "broken_off": self.health.broken_off,
+                    "failed": self.health.failed,
                     "requests": self.health.requests,
                     "flow": segments.flow_name(segment.flow_id),
                 },
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -158,7 +158,7 @@
         balancers: Addresses of the balancers that the agent knows; empty in
             most announcements.
         revision: Store revision of its copy of the operators' documents.
-        failing: Whether the target breaks off many of its requests.
+        failing: Whether the target fails many of its requests.
     """
 
     node: str
--- a/godwitturn/core/transparent/target_health.py
+++ b/godwitturn/core/transparent/target_health.py
@@ -1,23 +1,27 @@
 """Judges a target by how it ends the requests that it gets.
 
 Pattern: outlier detection. A target that breaks each request off at once has
-the least load of all, so the choice by load would give it most openings. Its
+the least load of all, so the choice by load would give it most openings; one
+that answers nothing gets a new opening for each client that gives up. Its
 heartbeats tell nothing, since they go on. A request counts once the target
-answers it or resets its flow; answers are not read.
+answers it or resets its flow, or its client gives up; answers are not read.
 """
 
 import collections
 
 import attrs
 
-# Latest requests that count. Ten tell a target that breaks off a third of them
-# from one that resets a flow now and then.
+# Latest requests that count. Ten tell a target that fails a third of them from
+# one that resets a flow now and then.
 WINDOW = 10
-# Requests broken off among them by which a target counts as failing.
-MOST_BROKEN_OFF = 3
-# Requests broken off among them with which a failing target is well again.
-# Below the other bound, so that the verdict doesn't change with each request.
-FEW_BROKEN_OFF = 1
+# Failed requests among them by which a target counts as failing.
+MANY_FAILED = 3
+# Failed requests among them with which a failing target is well again. Below
+# the other bound, so that the verdict doesn't change with each request.
+FEW_FAILED = 1
+# Seconds that a client must have waited for its leaving to tell of the target.
+# Requests take tens of milliseconds.
+GIVEN_UP_S = 0.5
 
 
 @attrs.define(eq=False, repr=False)
@@ -25,45 +29,45 @@
     """The latest requests of a target.
 
     Attributes:
-        failing: Whether the target breaks off many of its requests.
+        failing: Whether the target fails many of its requests.
     """
 
     failing: bool = False
-    _broken_off: collections.deque[bool] = attrs.field(
+    _failures: collections.deque[bool] = attrs.field(
         factory=lambda: collections.deque(maxlen=WINDOW)
     )
 
     @property
-    def broken_off(self) -> int:
-        """How many of the latest requests the target broke off."""
-        return sum(self._broken_off)
+    def failed(self) -> int:
+        """How many of the latest requests failed."""
+        return sum(self._failures)
 
     @property
     def requests(self) -> int:
         """How many requests count."""
-        return len(self._broken_off)
+        return len(self._failures)
 
-    def note(self, *, broken_off: bool) -> bool:
+    def note(self, *, failed: bool) -> bool:
         """Notes how a request ended.
 
         Args:
-            broken_off: Whether the target reset the flow instead of answering.
+            failed: Whether it ended without an answer.
 
         Returns:
             Whether `failing` changed.
         """
-        if not broken_off and not self.failing and not self._broken_off:
+        if not failed and not self._failures:
             return False
-        self._broken_off.append(broken_off)
+        self._failures.append(failed)
         was_failing = self.failing
         if was_failing:
-            full = len(self._broken_off) == WINDOW
-            self.failing = not full or self.broken_off > FEW_BROKEN_OFF
+            full = len(self._failures) == WINDOW
+            self.failing = not full or self.failed > FEW_FAILED
         else:
-            self.failing = self.broken_off >= MOST_BROKEN_OFF
+            self.failing = self.failed >= MANY_FAILED
         return self.failing != was_failing
 
     def clear(self) -> None:
         """Notes a new start of the target, which has yet to be judged."""
         self.failing = False
-        self._broken_off.clear()
+        self._failures.clear()
--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -35,6 +35,9 @@
 # Share of openings by which a failing target is tried again, as a multiple of
 # an even share.
 TRIAL_SHARE = 0.25
+# Share of a service's targets that may be put aside as failing. If more fail,
+# the reason may be their load, and the rest couldn't bear the work of all.
+MOST_ASIDE = 1 / 3
 # How many flows' worth of load a cold target counts as carrying already.
 COLD_LOAD = 4.0
 
@@ -106,7 +109,7 @@
 
     @property
     def failing(self) -> bool:
-        """Whether the target breaks off many of its requests."""
+        """Whether the target fails many of its requests."""
         return self.announcement is not None and self.announcement.failing
 
     def load(self) -> float:
@@ -136,13 +139,9 @@
 
 
 def _without_most_failing(targets: list[Target], spread: int) -> list[Target]:
-    """Leaves out targets that break requests off, for most openings.
-
-    If most targets do, the reason isn't theirs, and the rest couldn't bear the
-    work of all; then none is left out.
-    """
+    """Leaves out failing targets, for most openings, unless many fail."""
     failing = sum(target.failing for target in targets)
-    if failing == 0 or 2 * failing > len(targets):
+    if failing == 0 or failing > max(1, MOST_ASIDE * len(targets)):
         return targets
     trial = TRIAL_SHARE / len(targets)
     return [
--- a/godwitturn/standins/transparent_world.py
+++ b/godwitturn/standins/transparent_world.py
@@ -127,6 +127,7 @@
         strangers: Packets of flows that it doesn't hold.
         refused: Flows whose packets it answers with a reset.
         breaks_off: Whether it resets flows in place of answers.
+        mute: Whether it answers no request.
         full: Whether it returns openings.
         draining: Whether it says that it leaves.
         cold_ms: How long it stays cold, as it says.
@@ -140,6 +141,7 @@
     strangers: int = 0
     refused: set[segments.FlowId] = attrs.field(factory=set)
     breaks_off: bool = False
+    mute: bool = False
     full: bool = False
     draining: bool = False
     cold_ms: int = 0
@@ -163,6 +165,8 @@
         if segment.size and self.breaks_off:
             self.flows.discard(flow_id)
             return [packet(flow_id, RST, from_target=True)]
+        if segment.size and self.mute:
+            return []
         if segment.ending:
             self.flows.discard(flow_id)
             return [packet(flow_id, FIN | ACK, from_target=True)]
@@ -195,12 +199,14 @@
 
     Attributes:
         flow_id: The flow.
+        opened_at: When it was opened.
         accepted: Whether its opening was accepted.
         answers: Answers received.
         resets: Resets received.
     """
 
     flow_id: segments.FlowId
+    opened_at: float = 0.0
     accepted: bool = False
     answers: int = 0
     resets: int = 0
@@ -449,7 +455,7 @@
     def open_flow(self) -> ModelClient:
         """Opens a flow; its opening is repeated as clients do."""
         flow_id = (0x64400001, next(self._ports), ROUTE_ADDRESS, ROUTE_PORT)
-        client = ModelClient(flow_id)
+        client = ModelClient(flow_id, self.now)
         self.client_by_id[flow_id] = client
         for copy, delay_s in enumerate((0.0, 0.2, 0.6)):
             self.at(
