Follow balancers that start anew at another address

An agent that learnt the new address of a balancer kept its connection to the old one until it had been silent for 10 s, and avoided the balancer for 5 s after that loss. Connections, requests for them and the time for which a peer is avoided now hold for one address of the peer.

--- a/godwitturn/core/control_events.py
+++ b/godwitturn/core/control_events.py
@@ -173,7 +173,7 @@
 
 @attrs.frozen
 class ConnectPeer:
-    """Opens a connection to a balancer, unless one is open."""
+    """Opens a connection to a balancer, unless one to the address is open."""
 
     peer: identity.MemberId
     address: addresses.Address
--- a/godwitturn/core/uplinks.py
+++ b/godwitturn/core/uplinks.py
@@ -36,6 +36,14 @@
     heard_at: float = -math.inf
 
 
+@attrs.frozen
+class Attempt:
+    """A time that concerns a peer only while it stays at an address."""
+
+    at: float
+    address: addresses.Address | None
+
+
 @attrs.define
 class Uplinks:
     """Chooses upstreams and knows the addresses of balancers.
@@ -67,10 +75,10 @@
     _listed_address_by_id: dict[identity.MemberId, addresses.Address] = (
         attrs.field(factory=dict)
     )
-    _avoided_until_by_id: dict[identity.MemberId, float] = attrs.field(
+    _avoided_until_by_id: dict[identity.MemberId, Attempt] = attrs.field(
         factory=dict
     )
-    _requested_at_by_id: dict[identity.MemberId, float] = attrs.field(
+    _requested_by_id: dict[identity.MemberId, Attempt] = attrs.field(
         factory=dict
     )
 
@@ -148,12 +156,16 @@
     def lost(self, peer: identity.MemberId, *, now: float) -> bool:
         """Notes the end of a connection; returns if it was an upstream's."""
         self.connected.discard(peer)
-        self._requested_at_by_id.pop(peer, None)
+        self._requested_by_id.pop(peer, None)
         if peer not in self.upstream_by_id:
             return False
-        self._avoided_until_by_id[peer] = now + AVOIDED_SECONDS
+        self._avoid(peer, now)
         return True
 
+    def _avoid(self, peer: identity.MemberId, now: float) -> None:
+        until = now + AVOIDED_SECONDS
+        self._avoided_until_by_id[peer] = Attempt(until, self.address_of(peer))
+
     def choose(
         self, busy: Collection[identity.MemberId], *, now: float
     ) -> None:
@@ -166,13 +178,14 @@
         for peer, upstream in self.upstream_by_id.items():
             latest = max(upstream.chosen_at, upstream.heard_at)
             if now - latest > SILENT_SECONDS:
-                self._avoided_until_by_id[peer] = now + AVOIDED_SECONDS
+                self._avoid(peer, now)
         for peer, until in list(self._avoided_until_by_id.items()):
-            if now >= until:
+            if now >= until.at or until.address != self.address_of(peer):
                 del self._avoided_until_by_id[peer]
-        for peer, asked_at in list(self._requested_at_by_id.items()):
-            if now - asked_at >= RECONNECT_SECONDS:
-                del self._requested_at_by_id[peer]
+        for peer, requested in list(self._requested_by_id.items()):
+            late = now - requested.at >= RECONNECT_SECONDS
+            if late and peer not in self.connected:
+                del self._requested_by_id[peer]
         self.refresh()
         wanted = self._wanted() or self._bootstrap(busy, now)
         self.upstream_by_id = {
@@ -240,14 +253,25 @@
     def connection(
         self, peer: identity.MemberId, *, now: float
     ) -> control_events.ConnectPeer | None:
-        """Returns the request for a connection, if one is due."""
-        requested_at = self._requested_at_by_id.get(peer, -math.inf)
-        if peer in self.connected or now - requested_at < RECONNECT_SECONDS:
-            return None
+        """Returns the request for a connection, if one is due.
+
+        A balancer that was replaced has another address, and what the
+        connection to the former one carries is lost.
+        """
         address = self.address_of(peer)
         if address is None:
             return None
+        requested = self._requested_by_id.get(peer)
+        stays = requested is None or requested.address == address
+        if peer in self.connected and stays:
+            return None
+        if (
+            requested is not None
+            and stays
+            and now - requested.at < RECONNECT_SECONDS
+        ):
+            return None
         member = self.membership.approved.get(peer)
         key = member.public_key if member else self.seed_by_id[peer].public_key
-        self._requested_at_by_id[peer] = now
+        self._requested_by_id[peer] = Attempt(now, address)
         return control_events.ConnectPeer(peer, address, key)
--- a/godwitturn/daemons/control_channel.py
+++ b/godwitturn/daemons/control_channel.py
@@ -96,6 +96,7 @@
         self._receive = receive
         self._context = zmq.Context(io_threads=1)
         self._dealer_by_key: dict[bytes, zmq.Socket] = {}
+        self._address_by_key: dict[bytes, addresses.Address] = {}
         self._route_by_key: dict[bytes, bytes] = {}
         self._zap = self._open_zap()
         self._router = self._open_router(address)
@@ -137,9 +138,13 @@
         return router
 
     def connect(self, public_key: bytes, address: addresses.Address) -> None:
-        """Connects to a peer; reconnects by itself until disconnected."""
-        if public_key in self._dealer_by_key:
+        """Connects to a peer; reconnects by itself until disconnected.
+
+        A connection to another address of the peer is closed.
+        """
+        if self._address_by_key.get(public_key) == address:
             return
+        self.disconnect(public_key)
         dealer = self._context.socket(zmq.DEALER)
         self._configure(dealer)
         dealer.setsockopt(zmq.IPV6, 1 if ":" in address.host else 0)
@@ -149,11 +154,13 @@
         dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         dealer.connect(_endpoint(address))
         self._dealer_by_key[public_key] = dealer
+        self._address_by_key[public_key] = address
         if self._nursery is not None:
             self._nursery.start_soon(self._serve_dealer, public_key, dealer)
 
     def disconnect(self, public_key: bytes) -> None:
         """Closes the connection made to a peer, if any."""
+        self._address_by_key.pop(public_key, None)
         dealer = self._dealer_by_key.pop(public_key, None)
         if dealer is not None:
             trio.lowlevel.notify_closing(_descriptor(dealer))
--- a/godwitturn/tests/test_uplinks.py
+++ b/godwitturn/tests/test_uplinks.py
@@ -324,3 +324,36 @@
         self.assertIsNone(links.connection(peer, now=later + 20))
         self._handle(control_events.PeerLost(peer))
         self.assertIsNotNone(links.connection(peer, now=later + 20))
+
+    def _move(self, peer: identity.MemberId) -> addresses.Address:
+        """Announces a new start of a balancer at another address."""
+        membership = self.node.membership
+        said = membership.announcement_by_id[peer]
+        address = addresses.Address("127.0.0.2", 7)
+        moved = attrs.evolve(
+            said, start_number=said.start_number + 1, address=address
+        )
+        self.assertTrue(membership.learn(moved))
+        return address
+
+    def test_balancer_that_moved_is_connected_to_at_once(self) -> None:
+        """Guards against agents that speak to replaced balancers."""
+        peer = next(iter(self.node.uplinks.upstream_by_id))
+        links = self.node.uplinks
+        now = self.network.now + 10
+        self.assertIsNotNone(links.connection(peer, now=now))
+        self._handle(control_events.PeerConnected(peer))
+        address = self._move(peer)
+        asked = links.connection(peer, now=now + 0.1)
+        assert asked is not None
+        self.assertEqual(address, asked.address)
+        self.assertIsNone(links.connection(peer, now=now + 0.2))
+
+    def test_balancer_that_moved_is_no_longer_avoided(self) -> None:
+        links = self.node.uplinks
+        peer = next(iter(links.upstream_by_id))
+        self._handle(control_events.PeerLost(peer))
+        self.assertNotIn(peer, links.upstream_by_id)
+        self._move(peer)
+        links.choose((), now=self.network.now + 0.1)
+        self.assertIn(peer, links.upstream_by_id)
