Count a client that gives up once, after it has left

Cause, found by reading: a client's end counted against the target whenever it came 0.5 s after the first packet of a request. A target that acknowledges nothing gets the end again and again, and each counted; a long upload that is closed by its sender counted although its answer came at once.

A reset by the target after a client's end counts on the same terms. Tests for each; the verdict comes up to 1.5 s later than before.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -280,14 +280,10 @@
         if flow is not None:
             if segment.size and not flow.waiting:
                 self.work.ask(segment.flow_id, now=now)
-            judged: list[messages.Action] = []
             if flow.note_client(segment, balancer, now=now):
                 self.audience.changed = True
                 self.work.settle(segment.flow_id)
-                waited_s = now - flow.asked_at
-                if flow.waiting and waited_s > target_health.GIVEN_UP_S:
-                    judged = self._judge(segment, failed=True)
-            return [self._deliver(delivery, now=now), *judged]
+            return [self._deliver(delivery, now=now)]
         if segment.opening:
             return self._admit(delivery, now=now)
         if self._knows_all_flows_of(forward.service):
@@ -502,7 +498,7 @@
         if segment.size and flow.waiting:
             flow.waiting = False
             self.work.settle(segment.flow_id)
-            actions += self._judge(segment, failed=False)
+            actions += self._judge(segment.flow_id, failed=False)
             actions.append(
                 messages.Observe(
                     "answer_time",
@@ -527,9 +523,8 @@
             flow.target_ended = True
             self.audience.changed = True
         if segment.resetting:
-            # Data that comes after the end of a flow is reset rightly.
-            if flow.waiting and not (flow.client_ended or flow.target_ended):
-                actions += self._judge(segment, failed=True)
+            if flow.broken_off(now):
+                actions += self._judge(segment.flow_id, failed=True)
             self._forget(segment.flow_id)
             self.audience.changed = True
         if self._waiting:
@@ -537,7 +532,7 @@
         return actions
 
     def _judge(
-        self, segment: segments.Segment, *, failed: bool
+        self, flow_id: segments.FlowId, *, failed: bool
     ) -> list[messages.Action]:
         """Judges the target by how it ended a request."""
         if not self.health.note(failed=failed):
@@ -551,7 +546,7 @@
                     "incarnation": self.target.incarnation,
                     "failed": self.health.failed,
                     "requests": self.health.requests,
-                    "flow": segments.flow_name(segment.flow_id),
+                    "flow": segments.flow_name(flow_id),
                 },
             )
         ]
@@ -676,6 +671,8 @@
         actions: list[messages.Action] = []
         if now - self._swept_at >= FLOW_SWEEP_S:
             self._swept_at = now
+            for flow_id in self.flows.take_given_up(now=now):
+                actions += self._judge(flow_id, failed=True)
             if self.flows.sweep(now=now):
                 self.audience.changed = True
             self.audience.forget_silent(now=now)
--- a/godwitturn/core/transparent/agent_flows.py
+++ b/godwitturn/core/transparent/agent_flows.py
@@ -8,6 +8,9 @@
 # Late copies of a closing flow's packets still find it.
 CLOSING_S = 3.0
 OPENING_S = 3.0
+# Seconds that a client must have waited for its leaving to tell of the target.
+# Requests take tens of milliseconds.
+GIVEN_UP_S = 0.5
 
 
 @attrs.define(eq=False, repr=False)
@@ -25,6 +28,7 @@
         asked_at: When the first packet of that request came.
         told: Whether other balancers were told of the flow.
         client_ended: Whether the client has sent everything.
+        client_ended_at: When it said so first.
         target_ended: Whether the target has sent everything.
         acknowledged: What the client's last packet acknowledged.
         recorded_data_centre: Data centre of the balancers that its packets
@@ -41,6 +45,7 @@
     asked_at: float = 0.0
     told: bool = False
     client_ended: bool = False
+    client_ended_at: float = 0.0
     target_ended: bool = False
     acknowledged: int = 0
     recorded_data_centre: str = ""
@@ -66,10 +71,33 @@
         if segment.size and not self.waiting:
             self.waiting = True
             self.asked_at = now
-        if segment.ending:
+        if segment.ending and not self.client_ended:
             self.client_ended = True
+            self.client_ended_at = now
         return segment.ending
 
+    def given_up(self, now: float) -> bool:
+        """Returns whether the client left because no answer came.
+
+        A client that has sent its whole request may also say so at once and
+        then wait for the answer.
+        """
+        return (
+            self.waiting
+            and self.client_ended
+            and self.client_ended_at - self.asked_at > GIVEN_UP_S
+            and now - self.client_ended_at > GIVEN_UP_S
+        )
+
+    def broken_off(self, now: float) -> bool:
+        """Returns whether a reset by the target breaks a request off.
+
+        Data that comes after the end of a flow is reset rightly.
+        """
+        if not self.waiting or self.target_ended:
+            return False
+        return not self.client_ended or now - self.asked_at > GIVEN_UP_S
+
 
 @attrs.define(eq=False, repr=False)
 class FlowTable:
@@ -86,6 +114,17 @@
         flows = [flow for flow in self.flow_by_id.values() if not flow.closing]
         return len(flows), sum(flow.waiting for flow in flows)
 
+    def take_given_up(self, *, now: float) -> list[segments.FlowId]:
+        """Returns the flows whose client left without an answer, once."""
+        found = [
+            flow_id
+            for flow_id, flow in self.flow_by_id.items()
+            if flow.given_up(now)
+        ]
+        for flow_id in found:
+            self.flow_by_id[flow_id].waiting = False
+        return found
+
     def sweep(self, *, now: float) -> bool:
         """Forgets idle flows; returns whether there were any."""
         idle = [
--- a/godwitturn/core/transparent/target_health.py
+++ b/godwitturn/core/transparent/target_health.py
@@ -19,9 +19,6 @@
 # Failed requests among them with which a failing target is well again. Below
 # the other bound, so that the verdict doesn't change with each request.
 FEW_FAILED = 1
-# Seconds that a client must have waited for its leaving to tell of the target.
-# Requests take tens of milliseconds.
-GIVEN_UP_S = 0.5
 
 
 @attrs.define(eq=False, repr=False)
--- /dev/null
+++ b/godwitturn/tests/test_agent_flows.py
@@ -0,0 +1,99 @@
+"""Tests of an agent's table of flows."""
+
+import unittest
+
+from godwitturn.core.transparent import agent_flows
+from godwitturn.core.transparent import segments
+from godwitturn.platform import packets
+from godwitturn.standins import transparent_world
+
+FLOW_ID = (0x64400001, 1000, 0xC6120001, 443)
+PATIENCE_S = 1.6
+
+
+def _segment(flags: int, data: bytes = b"") -> segments.Segment:
+    packet = transparent_world.packet(FLOW_ID, flags, data=data)
+    segment = packets.decode(packet, from_target=False)
+    assert segment is not None
+    return segment
+
+
+REQUEST = _segment(transparent_world.ACK, b"request")
+FIN = _segment(transparent_world.FIN | transparent_world.ACK)
+
+
+class TestGivenUp(unittest.TestCase):
+    """What a client's leaving tells of the target."""
+
+    def setUp(self) -> None:
+        self.table = agent_flows.FlowTable()
+        self.flow = agent_flows.Flow("10.0.0.1", 0.0, 0.0, accepted=True)
+        self.table.flow_by_id[FLOW_ID] = self.flow
+
+    def send(self, segment: segments.Segment, *, now: float) -> None:
+        self.flow.note_client(segment, "10.0.0.1", now=now)
+
+    def given_up(self, *, now: float) -> list[segments.FlowId]:
+        return self.table.take_given_up(now=now)
+
+    def test_client_that_waited_in_vain(self) -> None:
+        self.send(REQUEST, now=0.0)
+        self.send(FIN, now=PATIENCE_S)
+        self.assertEqual([], self.given_up(now=PATIENCE_S))
+        later = PATIENCE_S + agent_flows.GIVEN_UP_S + 0.1
+        self.assertEqual([FLOW_ID], self.given_up(now=later))
+
+    def test_repeated_end_counts_once(self) -> None:
+        self.send(REQUEST, now=0.0)
+        for number in range(4):
+            self.send(FIN, now=PATIENCE_S + number)
+            self.given_up(now=PATIENCE_S + number + 0.9)
+        self.assertEqual([], self.given_up(now=PATIENCE_S + 10))
+
+    def test_end_sent_with_the_request(self) -> None:
+        self.send(REQUEST, now=0.0)
+        self.send(FIN, now=0.01)
+        self.assertEqual([], self.given_up(now=10.0))
+
+    def test_answer_to_a_long_upload(self) -> None:
+        for number in range(20):
+            self.send(REQUEST, now=0.1 * number)
+        self.send(FIN, now=2.0)
+        self.flow.waiting = False  # answered
+        self.assertEqual([], self.given_up(now=3.0))
+
+    def test_client_that_stays(self) -> None:
+        self.send(REQUEST, now=0.0)
+        self.assertEqual([], self.given_up(now=10.0))
+
+
+class TestBrokenOff(unittest.TestCase):
+    """What a reset by the target tells of it."""
+
+    def setUp(self) -> None:
+        self.flow = agent_flows.Flow("10.0.0.1", 0.0, 0.0, accepted=True)
+
+    def send(self, segment: segments.Segment, *, now: float) -> None:
+        self.flow.note_client(segment, "10.0.0.1", now=now)
+
+    def test_request_without_answer(self) -> None:
+        self.send(REQUEST, now=0.0)
+        self.assertTrue(self.flow.broken_off(0.01))
+
+    def test_idle_flow(self) -> None:
+        self.assertFalse(self.flow.broken_off(1.0))
+
+    def test_data_after_the_end(self) -> None:
+        self.flow.target_ended = True
+        self.send(REQUEST, now=0.0)
+        self.assertFalse(self.flow.broken_off(0.01))
+
+    def test_data_of_a_client_that_left(self) -> None:
+        self.send(FIN, now=0.0)
+        self.send(REQUEST, now=0.01)
+        self.assertFalse(self.flow.broken_off(0.02))
+
+    def test_client_that_waited_before_it_left(self) -> None:
+        self.send(REQUEST, now=0.0)
+        self.send(FIN, now=PATIENCE_S)
+        self.assertTrue(self.flow.broken_off(PATIENCE_S + 0.01))
