--- a/godwitturn/core/transparent/targets.py
+++ b/godwitturn/core/transparent/targets.py
@@ -40,6 +40,8 @@
 MOST_ASIDE = 1 / 3
 # How many flows' worth of load a cold target counts as carrying already.
 COLD_LOAD = 4.0
+# Different values of a checksum.
+_DRAWS = 2**32
 
 
 @attrs.define(eq=False, repr=False)
@@ -133,9 +135,9 @@
     ]
 
 
-def _draw(spread: int, address: str) -> int:
-    """Returns a number of 32 bits for an opening at a target."""
-    return zlib.crc32(b"%d/%s" % (spread, address.encode()))
+def _draw(spread: int, address: str) -> float:
+    """Returns a number from 0 to 1 for an opening at a target."""
+    return zlib.crc32(b"%d/%s" % (spread, address.encode())) / _DRAWS
 
 
 def _without_most_failing(targets: list[Target], spread: int) -> list[Target]:
@@ -147,7 +149,7 @@
     return [
         target
         for target in targets
-        if not target.failing or trial * 2**32 > _draw(spread, target.address)
+        if not target.failing or trial > _draw(spread, target.address)
     ]
 
 
@@ -168,7 +170,7 @@
     return [
         target
         for target in targets
-        if max(first, target.ramp(now)) * 2**32 > _draw(spread, target.address)
+        if max(first, target.ramp(now)) > _draw(spread, target.address)
     ]
 
 
@@ -348,7 +350,7 @@
         }
         bearable = min(load_by_address.values()) * (1.0 + LOCAL_EXCESS)
 
-        def rank(target: Target) -> tuple[bool, float, int]:
+        def rank(target: Target) -> tuple[bool, float, float]:
             load = load_by_address[target.address]
             local = target.data_centre == data_centre and load <= bearable
             return not local, load, _draw(spread, target.address)
--- a/godwitturn/core/uplinks.py
+++ b/godwitturn/core/uplinks.py
@@ -37,7 +37,7 @@
 
 
 @attrs.frozen
-class Attempt:
+class TimeAtAddress:
     """A time that concerns a peer only while it stays at an address."""
 
     at: float
@@ -75,10 +75,10 @@
     _listed_address_by_id: dict[identity.MemberId, addresses.Address] = (
         attrs.field(factory=dict)
     )
-    _avoided_until_by_id: dict[identity.MemberId, Attempt] = attrs.field(
+    _avoided_until_by_id: dict[identity.MemberId, TimeAtAddress] = attrs.field(
         factory=dict
     )
-    _requested_by_id: dict[identity.MemberId, Attempt] = attrs.field(
+    _requested_by_id: dict[identity.MemberId, TimeAtAddress] = attrs.field(
         factory=dict
     )
 
@@ -164,7 +164,9 @@
 
     def _avoid(self, peer: identity.MemberId, now: float) -> None:
         until = now + AVOIDED_SECONDS
-        self._avoided_until_by_id[peer] = Attempt(until, self.address_of(peer))
+        self._avoided_until_by_id[peer] = TimeAtAddress(
+            until, self.address_of(peer)
+        )
 
     def choose(
         self, busy: Collection[identity.MemberId], *, now: float
@@ -262,16 +264,13 @@
         if address is None:
             return None
         requested = self._requested_by_id.get(peer)
-        stays = requested is None or requested.address == address
-        if peer in self.connected and stays:
-            return None
-        if (
-            requested is not None
-            and stays
-            and now - requested.at < RECONNECT_SECONDS
-        ):
+        moved = requested is not None and requested.address != address
+        recent = (
+            requested is not None and now - requested.at < RECONNECT_SECONDS
+        )
+        if not moved and (recent or peer in self.connected):
             return None
         member = self.membership.approved.get(peer)
         key = member.public_key if member else self.seed_by_id[peer].public_key
-        self._requested_by_id[peer] = Attempt(now, address)
+        self._requested_by_id[peer] = TimeAtAddress(now, address)
         return control_events.ConnectPeer(peer, address, key)
--- a/godwitturn/standins/transparent_world.py
+++ b/godwitturn/standins/transparent_world.py
@@ -67,6 +67,13 @@
     return header + data
 
 
+def client_segment(data: bytes) -> segments.Segment:
+    """Returns a client's packet as programs decode it."""
+    segment = packets.decode(data, from_target=False)
+    assert segment is not None
+    return segment
+
+
 def returned(data: bytes) -> bytes:
     """Returns a packet as a target that doesn't hold its flow returns it."""
     flags = data[FLAGS_OFFSET] | BOUNCED
@@ -149,8 +156,7 @@
 
     def receive(self, data: bytes, now: float) -> list[bytes]:
         """Takes a packet and returns what the target sends."""
-        segment = packets.decode(data, from_target=False)
-        assert segment is not None
+        segment = client_segment(data)
         flow_id = segment.flow_id
         if flow_id in self.refused and not segment.opening:
             return [packet(flow_id, RST, from_target=True)]
@@ -400,8 +406,7 @@
             return
         match message:
             case messages.Forward():
-                segment = packets.decode(message.data, from_target=False)
-                assert segment is not None
+                segment = client_segment(message.data)
                 actions = vm.agent.handle_forward(
                     source, message, segment, now=self.now
                 )
@@ -423,14 +428,12 @@
     ) -> list[messages.Action]:
         match message:
             case messages.Refused(reason, data):
-                segment = packets.decode(data, from_target=False)
-                assert segment is not None
+                segment = client_segment(data)
                 return balancer.handle_refusal(
                     source, reason, segment, now=self.now
                 )
             case messages.FlowMissing(data):
-                segment = packets.decode(data, from_target=False)
-                assert segment is not None
+                segment = client_segment(data)
                 return balancer.handle_missing(source, segment, now=self.now)
         return balancer.handle_message(source, message, now=self.now)
 
@@ -486,8 +489,7 @@
         """Passes a client's packet through the routers (hash by `mod`)."""
         if not self.rotation or self.random.random() < self.loss:
             return
-        segment = packets.decode(data, from_target=False)
-        assert segment is not None
+        segment = client_segment(data)
         index = hash(segment.flow_id) % len(self.rotation)
         address = self.rotation[index]
         self.at(DELAY_S, lambda: self._at_balancer(address, segment))
--- a/godwitturn/tests/test_agent_flows.py
+++ b/godwitturn/tests/test_agent_flows.py
@@ -4,7 +4,6 @@
 
 from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import segments
-from godwitturn.platform import packets
 from godwitturn.standins import transparent_world
 
 FLOW_ID = (0x64400001, 1000, 0xC6120001, 443)
@@ -13,9 +12,7 @@
 
 def _segment(flags: int, data: bytes = b"") -> segments.Segment:
     packet = transparent_world.packet(FLOW_ID, flags, data=data)
-    segment = packets.decode(packet, from_target=False)
-    assert segment is not None
-    return segment
+    return transparent_world.client_segment(packet)
 
 
 REQUEST = _segment(transparent_world.ACK, b"request")
--- a/godwitturn/tests/test_platform_programs.py
+++ b/godwitturn/tests/test_platform_programs.py
@@ -391,10 +391,5 @@
         path.write_text("{")
         balancer.send_signal(signal.SIGHUP)
         self.assertTrue(
-            wait_until(
-                lambda: any(
-                    event["event"] == "settings_refused"
-                    for event in self.events("balancer")
-                )
-            )
+            wait_until(lambda: self.logged("balancer", "settings_refused"))
         )
--- a/godwitturn/tests/test_transparent_balancer.py
+++ b/godwitturn/tests/test_transparent_balancer.py
@@ -6,7 +6,6 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import segments
-from godwitturn.platform import packets
 from godwitturn.standins import transparent_world
 
 AGENTS = ("10.0.0.1", "10.0.0.2")
@@ -20,9 +19,7 @@
 
 def _segment(flags: int, data: bytes = b"") -> segments.Segment:
     packet = transparent_world.packet(FLOW_ID, flags, data=data)
-    segment = packets.decode(packet, from_target=False)
-    assert segment is not None
-    return segment
+    return transparent_world.client_segment(packet)
 
 
 class TwoTakersCase(unittest.TestCase):
--- a/godwitturn/tests/test_transparent_targets.py
+++ b/godwitturn/tests/test_transparent_targets.py
@@ -56,12 +56,13 @@
         excluded: frozenset[str] = frozenset(),
         closed: frozenset[str] = frozenset(),
         service: str = "core",
+        data_centre: str = "a",
     ) -> str | None:
         """Returns the address of the target chosen."""
         target = self.table.choose(
             service,
             now=now,
-            data_centre="a",
+            data_centre=data_centre,
             closed_data_centres=closed,
             max_flows=100,
             excluded=excluded,
@@ -69,6 +70,17 @@
         )
         return target.address if target else None
 
+    def chosen(
+        self, openings: int, *, now: float = 0.0
+    ) -> collections.Counter[str | None]:
+        """Counts the choices for openings that are all reported at once."""
+        found: collections.Counter[str | None] = collections.Counter()
+        for spread in range(openings):
+            found[self.choose(now=now, spread=spread)] += 1
+            for target in self.table.target_by_address.values():
+                target.opened_at.clear()
+        return found
+
 
 class TestChoice(TableCase):
     """Which target gets an opening."""
@@ -104,17 +116,7 @@
         for flows, chosen in ((22, "near"), (23, "far")):
             near = announcement(sequence=flows, flows=flows, data_centre="b")
             self.table.announce("near", near, now=0.0)
-            target = self.table.choose(
-                "core",
-                now=1.0,
-                data_centre="b",
-                closed_data_centres=frozenset(),
-                max_flows=100,
-                excluded=frozenset(),
-                spread=1,
-            )
-            assert target is not None
-            self.assertEqual(chosen, target.address)
+            self.assertEqual(chosen, self.choose(now=1.0, data_centre="b"))
 
     def test_targets_that_may_not_be_chosen(self) -> None:
         cases = {
@@ -187,12 +189,7 @@
         now = self.joined_at + after_s
         for address in self.table.target_by_address:
             self.table.hear(address, now=now)
-        chosen = 0
-        for spread in range(1000):
-            chosen += self.choose(now=now, spread=spread) == "new"
-            for target in self.table.target_by_address.values():
-                target.opened_at.clear()
-        return chosen / 1000
+        return self.chosen(1000, now=now)["new"] / 1000
 
     def test_share_grows(self) -> None:
         even = 1 / 21
@@ -245,11 +242,7 @@
         """Returns the shares of ten targets, of which the first ones fail."""
         for number in range(10):
             self.announce(number, failing=number < failing)
-        chosen: collections.Counter[str | None] = collections.Counter()
-        for spread in range(2000):
-            chosen[self.choose(spread=spread)] += 1
-            for target in self.table.target_by_address.values():
-                target.opened_at.clear()
+        chosen = self.chosen(2000)
         return [chosen[f"t{number}"] / 2000 for number in range(10)]
 
     def test_failing_target_is_tried_with_few_openings(self) -> None:
--- a/godwitturn/tests/test_work_limit.py
+++ b/godwitturn/tests/test_work_limit.py
@@ -106,8 +106,7 @@
         self, flow_id: segments.FlowId, flags: int, data: bytes = b""
     ) -> None:
         packet = transparent_world.packet(flow_id, flags, data=data)
-        segment = packets.decode(packet, from_target=False)
-        assert segment is not None
+        segment = transparent_world.client_segment(packet)
         self._perform(
             self._agent.handle_forward(
                 BALANCER,
@@ -121,8 +120,7 @@
         for action in actions:
             if not isinstance(action, messages.Deliver):
                 continue
-            segment = packets.decode(action.data, from_target=False)
-            assert segment is not None
+            segment = transparent_world.client_segment(action.data)
             if segment.opening:
                 self.delivered_after.append(self._now)
                 if segment.flow_id not in self._silent:
