Log what delays the operators' documents

Callers saw a confirmed configuration come into force late; the logs could not tell why. A failed call to the store now names the call and how long it took, a fetch of documents its size and duration, and copies, answers and configurations that are not taken because they are older leave a line of their own.

--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -106,7 +106,16 @@
         previous = self.configuration
         self._update_revision(revision)
         if previous is not None and previous.version >= configuration.version:
-            return []
+            return [
+                messages.LogEvent(
+                    "configuration_ignored",
+                    {
+                        "version": configuration.version,
+                        "in_force": previous.version,
+                        "revision": revision,
+                    },
+                )
+            ]
         self.configuration = configuration
         for endpoint, route in configuration.route_by_endpoint.items():
             services = self._services_by_endpoint.setdefault(endpoint, set())
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -99,11 +99,17 @@
         """Returns this daemon's copy of the operators' documents."""
         return self.operator_documents
 
-    def adopt_documents(self, copy: document_exchange.Documents) -> None:
-        """Adopts another daemon's copy of the documents, if it is newer."""
-        if copy.revision > self.operator_documents.revision:
-            self.operator_documents = copy
-            self.core.fetcher.set_revision(copy.revision)
+    def adopt_documents(self, copy: document_exchange.Documents) -> bool:
+        """Adopts another daemon's copy of the documents, if it is newer.
+
+        Returns:
+            Whether the copy is newer.
+        """
+        if copy.revision <= self.operator_documents.revision:
+            return False
+        self.operator_documents = copy
+        self.core.fetcher.set_revision(copy.revision)
+        return True
 
     def update_registration(self) -> None:
         """Makes the next store call of the registration, if one is due."""
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -76,9 +76,18 @@
         connection = store.Store(client)
 
         def call() -> None:
-            connection.read(store_mirror.next_call(), done)
+            next_call = store_mirror.next_call()
+            started_at = self.loop.now
+            connection.read(
+                next_call,
+                lambda result: done(
+                    type(next_call).__name__, started_at, result
+                ),
+            )
 
         def done(
+            call_name: str,
+            started_at: float,
             result: mirror.Page | mirror.Changes | mirror.Failure,
         ) -> None:
             earlier_failures = store_mirror.failures
@@ -87,7 +96,17 @@
                 self.log_event(
                     "store_call_failed",
                     prefix=prefix,
+                    call=call_name,
                     reason=result.value,
+                    seconds=round(self.loop.now - started_at, 3),
+                    failures=store_mirror.failures,
+                )
+            elif store_mirror.failures:
+                self.log_event(
+                    "store_answer_outdated",
+                    prefix=prefix,
+                    revision=result.revision,
+                    held=store_mirror.revision,
                     failures=store_mirror.failures,
                 )
             elif earlier_failures:
@@ -104,10 +123,16 @@
         """Returns this daemon's copy of the operators' documents."""
         return self.operator_mirror.documents()
 
-    def adopt_documents(self, copy: document_exchange.Documents) -> None:
-        """Adopts another daemon's copy of the documents, if it is newer."""
+    def adopt_documents(self, copy: document_exchange.Documents) -> bool:
+        """Adopts another daemon's copy of the documents, if it is newer.
+
+        Returns:
+            Whether the copy is newer.
+        """
+        newer = copy.revision > self.operator_mirror.revision
         changes = self.operator_mirror.adopt(copy)
         self.handle_store_changes(self.operator_mirror, changes)
+        return newer
 
     def apply_settings(self, settings: settings_module.Settings) -> None:
         """Applies the changed settings that need no restart."""
--- a/godwitturn/platform/program.py
+++ b/godwitturn/platform/program.py
@@ -117,8 +117,12 @@
         """Returns this daemon's copy of the operators' documents."""
         raise NotImplementedError
 
-    def adopt_documents(self, copy: document_exchange.Documents) -> None:
-        """Adopts another daemon's copy of the documents, if it is newer."""
+    def adopt_documents(self, copy: document_exchange.Documents) -> bool:
+        """Adopts another daemon's copy of the documents, if it is newer.
+
+        Returns:
+            Whether the copy is newer.
+        """
         raise NotImplementedError
 
     # Common to the programs of both roles.
@@ -131,12 +135,17 @@
         if source is None:
             return
         client = http_client.HttpClient(self.loop, (source, metrics_page.PORT))
+        started_at = self.loop.now
 
         def done(status: int | None, body: bytes) -> None:
             client.close()
+            seconds = round(self.loop.now - started_at, 3)
             if status != 200:
                 self.log_event(
-                    "documents_not_received", holder=source, status=status
+                    "documents_not_received",
+                    holder=source,
+                    status=status,
+                    seconds=seconds,
                 )
                 return
             try:
@@ -147,9 +156,20 @@
                 )
                 return
             self.log_event(
-                "documents_received", holder=source, revision=copy.revision
+                "documents_received",
+                holder=source,
+                revision=copy.revision,
+                bytes=len(body),
+                seconds=seconds,
             )
-            self.adopt_documents(copy)
+            held = self.documents_copy().revision
+            if not self.adopt_documents(copy):
+                self.log_event(
+                    "documents_outdated",
+                    holder=source,
+                    revision=copy.revision,
+                    held=held,
+                )
 
         client.call("GET", DOCUMENTS_PATH, b"", DOCUMENTS_TIMEOUT_S, done)
 
@@ -162,6 +182,7 @@
             Status and body of the answer.
         """
         if method == "GET" and path == DOCUMENTS_PATH:
+            self.count("documents_served")
             return 200, documents.encode_documents(self.documents_copy())
         return self.metrics_page.handle_request(method, path, body)
 
