Bound how long a store transfer stalls, not how long it takes

Callers saw a confirmed configuration come into force late, only on deployments with links of 5 to 10 Mbit/s. A read of the store failed after one second in all, a watch one second after its wait. A configuration of 1,500 routes takes over half a second on such a link, longer beside other traffic, so the read was repeated from its start. A watch also carries each version since the last one, and none of them counts but the newest.

A call now fails when its response stops arriving for a second. A watch whose answer is larger than two reads and 512 KiB is given up, and the prefix is read. Only the newest configuration of a batch is decoded. The store's stand-in gains a model of its own with history, eras, backups and restores, and links of limited rate.

--- a/godwitturn/core/transparent/mirror.py
+++ b/godwitturn/core/transparent/mirror.py
@@ -10,6 +10,11 @@
 # maximum. Jitter then shortens it by up to a half.
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
+# An answer to a watch contains each version of a document since the last one.
+# Beyond this size, and twice that of a read, the prefix is read instead.
+MIN_WATCH_BYTES = 512 * 1024
+# Size of an item in an answer, beyond its value in base64.
+ITEM_OVERHEAD_BYTES = 300
 
 
 @attrs.define(frozen=True, repr=False)
@@ -48,11 +53,13 @@
         prefix: The prefix.
         after: Revision after which changes are returned.
         wait_s: Seconds after which the store replies if nothing changes.
+        max_bytes: Size of an answer above which the watch fails.
     """
 
     prefix: str
     after: int
     wait_s: float
+    max_bytes: int
 
 
 @attrs.define(frozen=True, repr=False)
@@ -87,6 +94,7 @@
     """Why a call to the store gave no result."""
 
     HISTORY_GONE = "history_gone"
+    TOO_LARGE = "too_large"
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
     MALFORMED = "malformed"
@@ -127,7 +135,16 @@
         """Returns the call to make next."""
         if self._reading:
             return ReadPage(self.prefix, self._page_after)
-        return Watch(self.prefix, self.revision, self.wait_s)
+        return Watch(
+            self.prefix, self.revision, self.wait_s, self._max_watch_bytes()
+        )
+
+    def _max_watch_bytes(self) -> int:
+        read_bytes = sum(
+            ITEM_OVERHEAD_BYTES + len(item.value or b"") * 4 // 3
+            for item in self.item_by_key.values()
+        )
+        return max(MIN_WATCH_BYTES, 2 * read_bytes)
 
     def restart_read(self) -> None:
         """Makes the next call read the prefix from its first page."""
@@ -161,7 +178,7 @@
             case Changes():
                 self.failures = 0
                 return self._apply_changes(result)
-            case Failure.HISTORY_GONE:
+            case Failure.HISTORY_GONE | Failure.TOO_LARGE:
                 self.restart_read()
             case _:
                 self.failures += 1
--- a/godwitturn/daemons/http_client.py
+++ b/godwitturn/daemons/http_client.py
@@ -15,13 +15,23 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 READ_BYTES = 65536
+# A response that has begun fails if nothing more arrives within this time. It
+# may take longer in total, because a document of some 300 KB takes over half a
+# second on a link of 5 Mbit/s.
+STALL_TIMEOUT_S = 1.0
 
 # Takes status and body of a response.
 ResponseCallback = Callable[[int | None, bytes], None]
 
 
 class HttpClient:
-    """Connects to a server on demand and again after failures."""
+    """Connects to a server on demand and again after failures.
+
+    Attributes:
+        is_receiving: Whether a part of a response has arrived.
+        is_body_too_large: Whether the last call failed because its response
+            was larger than the call allowed.
+    """
 
     def __init__(
         self, loop: reactor.Reactor, address: tuple[str, int]
@@ -34,9 +44,13 @@
         self._timer: reactor.Timer | None = None
         self._output = b""
         self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._max_body_bytes: int | None = None
         self._is_length_known = False
         self._is_complete = False
         self._keep_alive = False
+        self.is_receiving = False
+        self.is_body_too_large = False
 
     def call(
         self,
@@ -45,6 +59,8 @@
         body: bytes,
         timeout_s: float,
         on_response: ResponseCallback,
+        *,
+        max_body_bytes: int | None = None,
     ) -> None:
         """Makes a call.
 
@@ -52,13 +68,20 @@
             method: HTTP method.
             path: Path and query.
             body: Body of the request, empty for none.
-            timeout_s: Seconds after which the call fails.
+            timeout_s: Seconds after which the call fails unless a response
+                has begun to arrive; from then on `STALL_TIMEOUT_S` applies.
             on_response: Called with status and body. The status is None if
                 there was no complete response; the server may have executed
                 the request all the same.
+            max_body_bytes: Size of a response above which the call fails;
+                None for no limit.
         """
         self._on_response = on_response
         self._body = []
+        self._body_bytes = 0
+        self._max_body_bytes = max_body_bytes
+        self.is_receiving = False
+        self.is_body_too_large = False
         self._is_length_known = False
         self._is_complete = False
         self._timer = self._loop.call_later(timeout_s, self._fail)
@@ -128,8 +151,19 @@
         if self._parser is None:
             raise ConnectionError("response without a request")
         self._parser.feed_data(data)
-        if self._is_complete:
+        if self.is_body_too_large:
+            self._fail()
+        elif self._is_complete:
             self._finish(keep_alive=self._keep_alive)
+        else:
+            self._restart_timer()
+
+    def _restart_timer(self) -> None:
+        """Gives a response that is arriving time for its next part."""
+        self.is_receiving = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(STALL_TIMEOUT_S, self._fail)
 
     def _handle_end_of_stream(self) -> None:
         """Handles the end of the stream, which ends a body without length."""
@@ -142,12 +176,22 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records whether a header tells where the body ends."""
-        if name.lower() in (b"content-length", b"transfer-encoding"):
+        name = name.lower()
+        if name in (b"content-length", b"transfer-encoding"):
             self._is_length_known = True
+        if name == b"content-length" and value.isdigit():
+            self._check_size(int(value))
 
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body."""
         self._body.append(body)
+        self._body_bytes += len(body)
+        self._check_size(self._body_bytes)
+
+    def _check_size(self, body_bytes: int) -> None:
+        limit = self._max_body_bytes
+        if limit is not None and body_bytes > limit:
+            self.is_body_too_large = True
 
     def on_message_complete(self) -> None:
         """Records that the response is complete."""
@@ -169,6 +213,7 @@
 
     def _deliver(self, status: int | None, body: bytes) -> None:
         on_response, self._on_response = self._on_response, None
+        self.is_receiving = False
         if self._timer is not None:
             self._timer.cancel()
         if on_response is not None:
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -151,9 +151,11 @@
             for item in changes:
                 self._apply_agent_entry(item)
             return
-        for item in changes:
-            if item.key == documents.CONFIGURATION_KEY and item.value:
-                self._apply_configuration(item)
+        # A batch may contain several versions, and decoding takes long.
+        newest_by_key = {item.key: item for item in changes}
+        configuration = newest_by_key.get(documents.CONFIGURATION_KEY)
+        if configuration is not None and configuration.value:
+            self._apply_configuration(configuration)
         if store_mirror.revision:
             evacuated = frozenset(
                 name
--- a/godwitturn/platform/store.py
+++ b/godwitturn/platform/store.py
@@ -15,9 +15,10 @@
 from godwitturn.daemons import reactor
 from godwitturn.platform import documents
 
-# Answers take milliseconds, or up to 0.25 s if the store is slow.
+# Time within which an answer begins. That takes milliseconds, or up to 0.25 s
+# if the store is slow.
 CALL_TIMEOUT_S = 1.0
-# Time for the answer to a watch, beyond the time that the store waits.
+# The same for a watch, beyond the time that the store waits.
 WATCH_MARGIN_S = 1.0
 
 _OK = 200
@@ -40,10 +41,11 @@
         match call:
             case mirror.ReadPage(prefix, after):
                 path = f"/kv-range?prefix={_quote(prefix)}"
+                max_bytes: int | None
                 if after:
                     path += f"&after={_quote(after)}"
-                timeout_s = CALL_TIMEOUT_S
-            case mirror.Watch(prefix, revision, wait_s):
+                timeout_s, max_bytes = CALL_TIMEOUT_S, None
+            case mirror.Watch(prefix, revision, wait_s, max_bytes):
                 path = (
                     f"/kv-watch?prefix={_quote(prefix)}&after={revision}"
                     f"&wait_ms={round(1000 * wait_s)}"
@@ -51,9 +53,19 @@
                 timeout_s = wait_s + WATCH_MARGIN_S
 
         def handle_answer(status: int | None, body: bytes) -> None:
-            done(_decode_read_result(call, status, body))
-
-        self._client.call("GET", path, b"", timeout_s, handle_answer)
+            if self._client.is_body_too_large:
+                done(mirror.Failure.TOO_LARGE)
+            else:
+                done(_decode_read_result(call, status, body))
+
+        self._client.call(
+            "GET",
+            path,
+            b"",
+            timeout_s,
+            handle_answer,
+            max_body_bytes=max_bytes,
+        )
 
     def write(
         self,
--- a/godwitturn/standins/platform_store.py
+++ b/godwitturn/standins/platform_store.py
@@ -2,82 +2,92 @@
 
 import base64
 import http.server
-import itertools
 import json
 import threading
 import time
 from typing import Any
 import urllib.parse
 
-FIRST_LEASE_ID = 1000
+from godwitturn.standins import platform_store_model
+
+# Answers on a slow link are sent in parts, so that they arrive steadily.
+_PART_BYTES = 16 * 1024
 
 
 class PlatformStore(http.server.ThreadingHTTPServer):
-    """HTTP server with keys, leases and watches, a thread for each request.
+    """HTTP server of a model of the store, a thread for each request.
 
     Attributes:
-        item_by_key: Existing items, as answers contain them.
+        model: Keys, leases and history.
         is_unavailable: Whether GET and POST requests are answered with 503.
         answer_delay_s: Seconds between a write and its answer.
+        late_write_s: Seconds by which writes are executed late, without an
+            answer; None to execute and answer them.
+        bytes_per_second: Rate at which answers are sent; None for no limit.
     """
 
     daemon_threads = True
 
     def __init__(self, address: tuple[str, int]) -> None:
         super().__init__(address, _Handler)
-        self.item_by_key: dict[str, dict[str, Any]] = {}
+        self.model = platform_store_model.StoreModel()
         self.is_unavailable = False
         self.answer_delay_s = 0.0
-        self._events: list[dict[str, Any]] = []
-        self._revision = 1
-        self._lease_ids = itertools.count(FIRST_LEASE_ID)
-        self._granted_at_by_lease: dict[int, float] = {}
+        self.late_write_s: float | None = None
+        self.bytes_per_second: float | None = None
+        self._watch_generation = 0
         self._changed = threading.Condition()
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
+    @property
+    def item_by_key(self) -> dict[str, dict[str, Any]]:
+        """Existing items, as answers contain them."""
+        return self.model.item_by_key
+
     def handle_error(self, request: object, client_address: object) -> None:
         """Ignores errors, as callers may disconnect before the answer."""
 
     def put(self, key: str, value: bytes, *, lease: int = 0) -> None:
         """Sets a key at a new revision; lease 0 means no lease."""
         with self._changed:
-            self._revision += 1
-            previous = self.item_by_key.get(key)
-            item = {
-                "key": key,
-                "value": base64.b64encode(value).decode(),
-                "revision": self._revision,
-                "created": previous["created"] if previous else self._revision,
-                "lease": lease,
-            }
-            self.item_by_key[key] = item
-            self._events.append(item)
+            self.model.put(key, value, lease=lease)
             self._changed.notify_all()
 
     def delete(self, key: str) -> None:
         """Removes a key, if it exists."""
         with self._changed:
-            if self.item_by_key.pop(key, None) is None:
-                return
-            self._revision += 1
-            self._events.append(
-                {"key": key, "revision": self._revision, "deleted": True}
-            )
+            self.model.delete(key)
             self._changed.notify_all()
 
+    def drop_history(self) -> None:
+        """Drops the history and cuts the watches that are waiting."""
+        with self._changed:
+            self.model.drop_history()
+            self._cut_watches()
+
+    def backup(self) -> platform_store_model.StoreModel:
+        """Returns a copy that the store can be restored from."""
+        with self._changed:
+            return self.model.backup()
+
+    def restore(self, backup: platform_store_model.StoreModel) -> None:
+        """Returns to the state of a copy and cuts waiting watches."""
+        with self._changed:
+            self.model.restore(backup)
+            self._cut_watches()
+
+    def _cut_watches(self) -> None:
+        self._watch_generation += 1
+        self._changed.notify_all()
+
     def read(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         """Returns the status and the body of the answer to `/kv-range`."""
         with self._changed:
-            items = [
-                item
-                for key, item in sorted(self.item_by_key.items())
-                if key.startswith(query["prefix"])
-                and key > query.get("after", "")
-            ]
+            items = self.model.read(query["prefix"], query.get("after", ""))
             answer = {
                 "items": items,
                 "has_more": False,
-                "at": self._revision,
+                "at": self.model.revision,
             }
             return 200, answer
 
@@ -86,52 +96,58 @@
 
         Waits until a key with the prefix has changed since the revision, for
         at most `wait_ms`.
+
+        Raises:
+            ConnectionError: If the watch was cut.
         """
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
         with self._changed:
+            generation = self._watch_generation
             while True:
-                events = [
-                    event
-                    for event in self._events
-                    if event["key"].startswith(query["prefix"])
-                    and event["revision"] > int(query["after"])
-                ]
+                events = self.model.changes(
+                    query["prefix"], int(query["after"])
+                )
+                if events is None:
+                    return 410, {}
                 remaining_s = deadline - time.monotonic()
                 if events or remaining_s <= 0:
-                    return 200, {"events": events, "at": self._revision}
+                    return 200, {"events": events, "at": self.model.revision}
                 self._changed.wait(remaining_s)
+                if self._watch_generation != generation:
+                    raise ConnectionError("watch cut")
 
     def grant(self, document: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Returns the status and the body of the answer to `/kv-lease`."""
         with self._changed:
-            lease = next(self._lease_ids)
-            self._granted_at_by_lease[lease] = time.monotonic()
+            lease = self.model.grant()
         return 200, {"lease": lease, "ttl_ms": document["ttl_ms"]}
 
     def end_lease(self, lease: int) -> None:
         """Ends a lease and deletes its keys."""
-        self._granted_at_by_lease.pop(lease, None)
-        for key, item in list(self.item_by_key.items()):
-            if item["lease"] == lease:
-                self.delete(key)
+        with self._changed:
+            self.model.end_lease(lease)
+            self._changed.notify_all()
 
     def expire_all_leases(self) -> None:
         """Ends all leases, as if all had expired."""
-        for lease in list(self._granted_at_by_lease):
-            self.end_lease(lease)
+        with self._changed:
+            self.model.end_all_leases()
+            self._changed.notify_all()
 
     def write(self, document: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Returns the status and the body of the answer to `/kv-txn`."""
-        for put in document["puts"]:
-            if put["lease"] not in self._granted_at_by_lease:
-                return 404, {}
-            value = base64.b64decode(put["value"])
-            self.put(put["key"], value, lease=put["lease"])
-        return 200, {"revision": self._revision}
+        with self._changed:
+            for put in document["puts"]:
+                if not self.model.has_lease(put["lease"]):
+                    return 404, {}
+                value = base64.b64decode(put["value"])
+                self.model.put(put["key"], value, lease=put["lease"])
+            self._changed.notify_all()
+            return 200, {"revision": self.model.revision}
 
     def has_lease(self, lease: int) -> bool:
         """Returns whether a lease has been granted and has not ended."""
-        return lease in self._granted_at_by_lease
+        return self.model.has_lease(lease)
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
@@ -147,8 +163,17 @@
         body = json.dumps(document).encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(body)))
+        if self.server.model.era:
+            self.send_header("Store-Era", str(self.server.model.era))
         self.end_headers()
-        self.wfile.write(body)
+        rate = self.server.bytes_per_second
+        if rate is None:
+            self.wfile.write(body)
+            return
+        for start in range(0, len(body), _PART_BYTES):
+            part = body[start : start + _PART_BYTES]
+            self.wfile.write(part)
+            time.sleep(len(part) / rate)
 
     def do_GET(self) -> None:
         """Answers range and watch calls."""
@@ -171,6 +196,10 @@
             self._reply(503, {})
         elif self.path == "/kv-lease":
             self._reply(*self.server.grant(document))
+        elif self.path == "/kv-txn" and self.server.late_write_s is not None:
+            time.sleep(self.server.late_write_s)
+            self.server.write(document)
+            raise ConnectionError("answer lost")
         elif self.path == "/kv-txn":
             answer = self.server.write(document)
             time.sleep(self.server.answer_delay_s)
--- a/godwitturn/tests/test_http.py
+++ b/godwitturn/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 import unittest
 
 from godwitturn.daemons import http_client
@@ -192,6 +193,53 @@
         self.serve(b"nothing of the kind\r\n\r\n")
         self.assertEqual([(None, b"")], self.call(b""))
 
+    # Guards against a limit on the duration of a whole transfer, which large
+    # responses over slow links exceed.
+    def test_response_that_keeps_arriving_is_waited_for(self) -> None:
+        parts = [b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"]
+        parts += [b"a"] * 4
+
+        def run_server() -> None:
+            sock, _ = self.listener.accept()
+            with sock:
+                sock.recv(4096)
+                for part in parts:
+                    sock.sendall(part)
+                    time.sleep(0.4)
+
+        threading.Thread(target=run_server, daemon=True).start()
+        self.assertEqual([(200, b"aaaa")], self.call(b""))
+
+    def test_response_that_stops_arriving_is_a_failed_call(self) -> None:
+        self.serve(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc")
+        self.assertEqual([(None, b"")], self.call(b""))
+
+    def test_response_above_the_limit_is_a_failed_call(self) -> None:
+        for head, body in (
+            (b"Content-Length: 900", b"a"),
+            (b"Transfer-Encoding: chunked", b"c\r\n" + b"a" * 12),
+        ):
+            with self.subTest(head=head):
+                self.serve(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n" + body)
+                client = http_client.HttpClient(
+                    self.loop, self.listener.getsockname()
+                )
+                results: list[tuple[int | None, bool]] = []
+
+                def done(
+                    status: int | None,
+                    body: bytes,
+                    client: http_client.HttpClient = client,
+                    results: list[tuple[int | None, bool]] = results,
+                ) -> None:
+                    results.append((status, client.is_body_too_large))
+                    self.loop.stopped = True
+
+                self.loop.stopped = False
+                client.call("GET", "/kv", b"", 1.0, done, max_body_bytes=10)
+                self.run_loop()
+                self.assertEqual([(None, True)], results)
+
     def test_call_without_response_times_out(self) -> None:
         self.serve(b"")
         self.assertEqual([(None, b"")], self.call(b""))
--- a/godwitturn/tests/test_mirror.py
+++ b/godwitturn/tests/test_mirror.py
@@ -24,7 +24,10 @@
 
     def test_watch_follows_the_first_read(self) -> None:
         self.assertTrue(self.mirror.synced)
-        self.assertEqual(mirror.Watch("op/", 10, 4.0), self.mirror.next_call())
+        self.assertEqual(
+            mirror.Watch("op/", 10, 4.0, mirror.MIN_WATCH_BYTES),
+            self.mirror.next_call(),
+        )
 
     def test_watch_starts_at_the_revision_of_the_first_page(self) -> None:
         new_mirror = mirror.Mirror("op/", 4.0)
@@ -36,7 +39,10 @@
             mirror.Page((item("b", 2),), False, 9)
         )
         self.assertEqual(["a", "b"], [change.key for change in changes])
-        self.assertEqual(mirror.Watch("op/", 5, 4.0), new_mirror.next_call())
+        self.assertEqual(
+            mirror.Watch("op/", 5, 4.0, mirror.MIN_WATCH_BYTES),
+            new_mirror.next_call(),
+        )
 
     def test_keys_deleted_before_a_new_read_are_reported(self) -> None:
         self.mirror.handle_result(mirror.Failure.HISTORY_GONE)
--- a/godwitturn/tests/test_platform_programs.py
+++ b/godwitturn/tests/test_platform_programs.py
@@ -26,6 +26,8 @@
 
 TIMEOUT_S = 15.0
 SERVICE = "core"
+# `config_apply_ms` of the deployments with slow links.
+CONFIGURATION_BOUND_S = 5.0
 
 
 def wait_until(condition: Callable[[], bool]) -> bool:
@@ -106,8 +108,16 @@
             transparent_simulation.ROUTE_PORT,
         )
 
-    def configure(self, version: int, service: str = SERVICE) -> None:
-        """Writes a configuration to the store."""
+    def configure(
+        self, version: int, service: str = SERVICE, *, idle_routes: int = 0
+    ) -> None:
+        """Writes a configuration to the store.
+
+        Args:
+            version: Its version.
+            service: Service of the route that the tests use.
+            idle_routes: Number of further routes, of about 90 bytes each.
+        """
         document = {
             "version": version,
             "routes": [
@@ -117,6 +127,15 @@
                     "prefix": "/443/",
                     "service": service,
                 }
+            ]
+            + [
+                {
+                    "name": f"idle-{number}",
+                    "host": "198.18.0.2",
+                    "prefix": f"/{number}/",
+                    "service": service,
+                }
+                for number in range(1, idle_routes + 1)
             ],
             "services": [{"name": service, "max_conns": 100}],
             "limits": {"idle_timeout_ms": 15000},
@@ -365,6 +384,49 @@
         self.open_flow()
 
 
+class TestLargeDocuments(ProgramCase):
+    """A configuration of 1,500 routes must come into force in time."""
+
+    def assert_version(self, version: int, within_s: float) -> None:
+        """Checks that the balancer applies a version within a time."""
+        deadline = time.monotonic() + within_s
+
+        def applied() -> bool:
+            return any(
+                event["event"] == "configuration_applied"
+                and event["version"] == version
+                for event in self.events("balancer")
+            )
+
+        while not applied() and time.monotonic() < deadline:
+            time.sleep(0.05)
+        self.assertTrue(applied(), self.events("balancer")[-5:])
+
+    # Guards against limits on the duration of a transfer, after which a
+    # balancer on a slow link never got a large configuration.
+    def test_balancer_on_a_slow_link_starts_with_a_large_configuration(
+        self,
+    ) -> None:
+        self.store.bytes_per_second = 100_000
+        self.configure(2, idle_routes=1500)
+        self.start("balancer", self.balancer_address)
+        self.assert_version(2, within_s=CONFIGURATION_BOUND_S)
+
+    # Guards against transfers of each version of a large configuration that
+    # was replaced many times, of which only the newest matters.
+    def test_newest_of_many_large_configurations_is_applied_in_time(
+        self,
+    ) -> None:
+        self.configure(2, idle_routes=1500)
+        self.start("balancer", self.balancer_address)
+        self.assert_version(2, within_s=CONFIGURATION_BOUND_S)
+        self.store.bytes_per_second = 400_000
+        for version in range(3, 30):
+            self.configure(version, idle_routes=1500)
+            time.sleep(0.01)
+        self.assert_version(29, within_s=CONFIGURATION_BOUND_S)
+
+
 class TestPages(ProgramCase):
     """Pages must show the current state; SIGHUP must reload settings."""
 
--- a/godwitturn/tests/test_platform_store.py
+++ b/godwitturn/tests/test_platform_store.py
@@ -88,7 +88,9 @@
         row = {"key": "op/a", "revision": 5, "deleted": True}
         self.answer = (200, {"events": [row], "at": 5})
         result = self.call(
-            lambda done: self.store.read(mirror.Watch("op/", 4, 2.0), done)
+            lambda done: self.store.read(
+                mirror.Watch("op/", 4, 2.0, 9999), done
+            )
         )
         changes = mirror.Changes((mirror.Item("op/a", None, 5),), 5)
         self.assertEqual(changes, result)
