Spread fetches of the operators' documents over daemons and time

Callers saw a confirmed configuration come into force late. A daemon that the store refuses fetches newer documents from another one; each asked the daemon that had reported last, and hellos of a balancer reach all agents within one tick, so all agents asked the same balancer at the same time. A large copy to 52 agents fills a link of 5 Mbit/s for many seconds. Requests failed after 0.5 s, which is less than one copy takes on such a link, and were repeated.

Daemons with different names now choose different sources; agents spread their requests, five a second for the whole fleet. A fetch waits while the documents arrive from the store, one runs at a time, and it fails when the response stalls.

--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -17,6 +17,7 @@
 from godwitturn import bytecode
 from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import balancer as balancers
+from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
@@ -73,6 +74,7 @@
         data_centre="a",
         started_at=NOW - 60,
         peers=peers.PeerTable("10.0.0.1"),
+        fetcher=document_exchange.DocumentFetcher("10.0.0.1"),
     )
     node.configure(transparent_simulation.configuration(), revision=1)
     for number in range(agent_count):
--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -15,6 +15,7 @@
 from godwitturn.core.transparent import flow_record
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import pacing
 from godwitturn.core.transparent import segments
 from godwitturn.core.transparent import subscribers as subscriber_tables
 from godwitturn.core.transparent import target_health
@@ -73,6 +74,7 @@
         cold_limiter: Limits openings while the target is cold.
         work_limiter: Limits openings while the target's queue is full.
         target: State of the target, from its heartbeats and packets.
+        fetcher: Decides when to fetch newer documents of the operators.
         health: Results of the target's latest requests.
         subscribers: Balancers that receive announcements of the target.
         flows: Flows of the target.
@@ -80,7 +82,6 @@
         revision: Store revision that `evacuated` comes from.
         registration_missing: Whether the last hello reported that the agent's
             entry isn't in the store.
-        fetcher: Decides when to fetch newer documents of the operators.
         recorder: Record of long flows for the agent's next run.
         counts: Counters by name.
     """
@@ -91,6 +92,7 @@
     run_id: int
     cold_limiter: cold_limit.ColdLimit
     target: target_watch.TargetWatch
+    fetcher: document_exchange.DocumentFetcher
     health: target_health.TargetHealth = attrs.field(
         factory=target_health.TargetHealth
     )
@@ -104,11 +106,6 @@
     evacuated: bool = False
     revision: int = 0
     registration_missing: bool = False
-    fetcher: document_exchange.DocumentFetcher = attrs.field(
-        factory=lambda: document_exchange.DocumentFetcher(
-            interval_s=FETCH_INTERVAL_S
-        )
-    )
     recorder: flow_record.FlowRecorder = attrs.field(
         factory=flow_record.FlowRecorder
     )
@@ -657,6 +654,7 @@
         self.subscribers.handle_hello(balancer, hello, now=now)
         actions: list[messages.Action] = []
         self.registration_missing = not hello.registered
+        self.fetcher.spread_s = pacing.document_spread_s(hello.agents)
         self.fetcher.note_revision(balancer, hello.revision, now=now)
         if hello.flows_requested:
             actions += self._send_flows(balancer)
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -52,6 +52,7 @@
         data_centre: Data centre of this balancer.
         started_at: When it started, in seconds of the clock passed as `now`.
         peers: The other balancers.
+        fetcher: Decides when to fetch newer documents of the operators.
         configuration: The operators' configuration, None until received.
         revision: Store revision of the newest change that is in force here.
         closed_data_centres: Data centres whose targets get no new flows.
@@ -59,7 +60,6 @@
         stop: The graceful stop, None unless one has begun.
         target_table: Targets.
         cache: Flows with the agents that they belong to, and running searches.
-        fetcher: Decides when to fetch newer documents of the operators.
         counts: Counters by name.
     """
 
@@ -67,6 +67,7 @@
     data_centre: str
     started_at: float
     peers: peer_tables.PeerTable
+    fetcher: document_exchange.DocumentFetcher
     configuration: routes.Configuration | None = None
     revision: int = 0
     closed_data_centres: frozenset[str] = frozenset()
@@ -76,9 +77,6 @@
         factory=targets.TargetTable
     )
     cache: flow_cache.FlowCache = attrs.field(factory=flow_cache.FlowCache)
-    fetcher: document_exchange.DocumentFetcher = attrs.field(
-        factory=document_exchange.DocumentFetcher
-    )
     counts: dict[str, int] = attrs.field(factory=dict)
     _services_by_endpoint: dict[routes.Endpoint, set[str]] = attrs.field(
         factory=dict
--- a/godwitturn/core/transparent/pacing.py
+++ b/godwitturn/core/transparent/pacing.py
@@ -21,6 +21,9 @@
 # announced almost immediately.
 MIN_ANNOUNCEMENT_GAP_S = 0.04
 HELLO_INTERVAL_S = 0.5
+# Copies of the operators' documents that all agents together fetch in a
+# second. The smallest links carry two large copies a second.
+DOCUMENTS_PER_SECOND = 5.0
 # Agents remove a balancer after 5 s without messages.
 MAX_HELLO_INTERVAL_S = 1.5
 
@@ -44,3 +47,8 @@
     """Returns the time between hellos to one agent, in seconds."""
     interval_s = agents / HELLOS_PER_SECOND
     return min(MAX_HELLO_INTERVAL_S, max(HELLO_INTERVAL_S, interval_s))
+
+
+def document_spread_s(agents: int) -> float:
+    """Returns the time over which agents fetch the same documents, in s."""
+    return agents / DOCUMENTS_PER_SECOND
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -48,6 +48,9 @@
                 settings.cold_overshoot, settings.cold_slack
             ),
             target=target_watch.TargetWatch(settings.service),
+            fetcher=document_exchange.DocumentFetcher(
+                settings.node, interval_s=agents.FETCH_INTERVAL_S
+            ),
             subscribers=subscriber_tables.SubscriberTable(
                 frozenset(settings.seeds)
             ),
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -36,6 +36,7 @@
             data_centre=settings.data_centre,
             started_at=self.loop.now,
             peers=peers.PeerTable(settings.address, frozenset(settings.seeds)),
+            fetcher=document_exchange.DocumentFetcher(settings.node),
         )
         self.was_ready = False
         self.store_clients: list[http_client.HttpClient] = []
@@ -119,6 +120,14 @@
         call()
         return store_mirror
 
+    def is_reading_documents(self) -> bool:
+        """Returns whether the documents are arriving from the store.
+
+        A copy of another daemon would arrive over the same link and delay
+        both.
+        """
+        return self.store_clients[0].is_receiving
+
     def documents_copy(self) -> document_exchange.Documents:
         """Returns this daemon's copy of the operators' documents."""
         return self.operator_mirror.documents()
--- a/godwitturn/platform/program.py
+++ b/godwitturn/platform/program.py
@@ -20,9 +20,9 @@
 # SIGHUP.
 SETTINGS_RELOAD_INTERVAL_S = 2.0
 DOCUMENTS_PATH = "/documents"
-# Time limit of a request for documents. Answers from another data centre take
-# milliseconds.
-DOCUMENTS_TIMEOUT_S = 0.5
+# Time within which an answer to a request for documents begins. Links of the
+# answering VM may be busy with answers to other daemons.
+DOCUMENTS_TIMEOUT_S = 1.0
 
 
 class Program:
@@ -52,6 +52,7 @@
             self.record_malformed,
         )
         self._tick_s = tick_s
+        self._is_fetching = False
 
     def start_http_servers(self, page: metrics_page.MetricsPage) -> None:
         """Starts the HTTP servers.
@@ -125,20 +126,28 @@
         """
         raise NotImplementedError
 
+    def is_reading_documents(self) -> bool:
+        """Returns whether the documents are arriving from the store."""
+        return False
+
     # Common to the programs of both roles.
 
     def fetch_documents(
         self, fetcher: document_exchange.DocumentFetcher
     ) -> None:
         """Fetches a newer copy of the documents from a daemon, if due."""
+        if self._is_fetching or self.is_reading_documents():
+            return
         source = fetcher.next_source(now=self.loop.now)
         if source is None:
             return
+        self._is_fetching = True
         client = http_client.HttpClient(self.loop, (source, metrics_page.PORT))
         started_at = self.loop.now
 
         def done(status: int | None, body: bytes) -> None:
             client.close()
+            self._is_fetching = False
             seconds = round(self.loop.now - started_at, 3)
             if status != 200:
                 self.log_event(
--- a/godwitturn/standins/transparent_simulation.py
+++ b/godwitturn/standins/transparent_simulation.py
@@ -16,6 +16,7 @@
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import cold_limit
+from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
@@ -109,6 +110,9 @@
         run_id=run_id,
         cold_limiter=cold_limit.ColdLimit(1.5, 5, per_second=cold_per_second),
         target=target_watch.TargetWatch(service),
+        fetcher=document_exchange.DocumentFetcher(
+            node, interval_s=agents.FETCH_INTERVAL_S
+        ),
     )
 
 
@@ -308,6 +312,7 @@
             data_centre=data_centre,
             started_at=self.now,
             peers=peers.PeerTable(address),
+            fetcher=document_exchange.DocumentFetcher(address),
         )
         self.balancer_by_address[address] = balancer
         if in_rotation and address not in self.rotation:
--- a/godwitturn/tests/test_transparent_balancer.py
+++ b/godwitturn/tests/test_transparent_balancer.py
@@ -3,6 +3,7 @@
 import unittest
 
 from godwitturn.core.transparent import balancer as balancers
+from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import segments
@@ -31,6 +32,7 @@
             data_centre="a",
             started_at=0.0,
             peers=peers.PeerTable("10.0.1.1"),
+            fetcher=document_exchange.DocumentFetcher("balancer-1"),
         )
         self.balancer.configure(
             transparent_simulation.configuration(), revision=1
