Let agents fetch copies of the documents at one a second in all

Callers saw requests served late while a large configuration was replaced often: at five copies a second, agents kept the links of some balancers busy all the time. A balancer that has lost the store needs one agent with a new copy, not all of them.

--- a/godwitturn/core/transparent/pacing.py
+++ b/godwitturn/core/transparent/pacing.py
@@ -22,8 +22,9 @@
 MIN_ANNOUNCEMENT_GAP_S = 0.04
 HELLO_INTERVAL_S = 0.5
 # Copies of the operators' documents that all agents together fetch in a
-# second. The smallest links carry two large copies a second.
-DOCUMENTS_PER_SECOND = 5.0
+# second. A large copy occupies the smallest links for half a second, and a
+# balancer without the store needs only one agent that has a new copy.
+DOCUMENTS_PER_SECOND = 1.0
 # Agents remove a balancer after 5 s without messages.
 MAX_HELLO_INTERVAL_S = 1.5
 
--- a/godwitturn/tests/test_document_exchange.py
+++ b/godwitturn/tests/test_document_exchange.py
@@ -73,7 +73,7 @@
             )
             for source in self.SOURCES:
                 fetcher.note_revision(source, 7, now=0.0)
-            for tenth in range(200):
+            for tenth in range(600):
                 source_now = fetcher.next_source(now=tenth / 10)
                 if source_now is not None:
                     requests.append((tenth, source_now))
@@ -88,7 +88,7 @@
         by_source = collections.Counter(source for _, source in requests)
         self.assertLessEqual(max(by_source.values()), 8)
         by_second = collections.Counter(tenth // 10 for tenth, _ in requests)
-        self.assertLessEqual(max(by_second.values()), 12)
+        self.assertLessEqual(max(by_second.values()), 5)
 
     def test_balancers_choose_different_sources_at_once(self) -> None:
         requests = self.requests(7, 0.0)
