--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -21,6 +21,7 @@
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
+from godwitturn.core.transparent import store_position
 from godwitturn.platform import packets
 from godwitturn.protocol import transparent
 from godwitturn.standins import transparent_simulation
@@ -58,7 +59,7 @@
         work=0,
         cold_ms=0,
         balancers=(),
-        revision=1,
+        position=store_position.StorePosition(0, 1),
     )
 
 
@@ -76,7 +77,10 @@
         peers=peers.PeerTable("10.0.0.1"),
         fetcher=document_exchange.DocumentFetcher("10.0.0.1"),
     )
-    node.configure(transparent_simulation.configuration(), revision=1)
+    node.configure(
+        transparent_simulation.configuration(),
+        position=store_position.StorePosition(0, 1),
+    )
     for number in range(agent_count):
         node.handle_message(
             address_of(number), announcement(number, 1), now=NOW
--- a/godwitturn/bytecode.py
+++ b/godwitturn/bytecode.py
@@ -27,7 +27,14 @@
 ENTRY_NAME = "start.pyc"
 # Options of `attrs.define` that the compiler supports. Classes with other
 # options keep their decorator.
-SUPPORTED_OPTIONS = frozenset({"eq", "frozen", "repr"})
+SUPPORTED_OPTIONS = frozenset({"eq", "frozen", "order", "repr"})
+# Methods that `order` adds to a class, which compare fields in order.
+_ORDER_OPERATORS = (
+    ("__lt__", "<"),
+    ("__le__", "<="),
+    ("__gt__", ">"),
+    ("__ge__", ">="),
+)
 # Source of the default of a parameter whose field has a factory: Ellipsis,
 # which no field takes as its value.
 UNSET = "..."
@@ -132,6 +139,14 @@
             "        return NotImplemented",
             f"    return ({own_values}) == ({other_values})",
         ]
+        if options.get("order"):
+            for name, operator in _ORDER_OPERATORS:
+                lines += [
+                    f"def {name}(self, other):",
+                    "    if other.__class__ is not self.__class__:",
+                    "        return NotImplemented",
+                    f"    return ({own_values}) {operator} ({other_values})",
+                ]
         if options.get("frozen"):
             lines += [
                 "def __hash__(self):",
--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -17,6 +17,7 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import pacing
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import subscribers as subscriber_tables
 from godwitturn.core.transparent import target_health
 from godwitturn.core.transparent import target_watch
@@ -79,7 +80,7 @@
         subscribers: Balancers that receive announcements of the target.
         flows: Flows of the target.
         evacuated: Whether the data centre must get no new flows.
-        revision: Store revision that `evacuated` comes from.
+        position: Store position that `evacuated` comes from.
         registration_missing: Whether the last hello reported that the agent's
             entry isn't in the store.
         recorder: Record of long flows for the agent's next run.
@@ -104,7 +105,7 @@
     )
     flows: agent_flows.FlowTable = attrs.field(factory=agent_flows.FlowTable)
     evacuated: bool = False
-    revision: int = 0
+    position: store_position.StorePosition = store_position.UNREAD
     registration_missing: bool = False
     recorder: flow_record.FlowRecorder = attrs.field(
         factory=flow_record.FlowRecorder
@@ -259,12 +260,20 @@
             self.target.heartbeat, self.flows.flow_by_id
         )
 
-    def next_record(self, *, now: float) -> flow_record.FlowRecord | None:
-        """Returns the flow record to write now, None if none is due."""
+    def next_record(
+        self, *, lease: int, now: float
+    ) -> flow_record.FlowRecord | None:
+        """Returns the flow record to write now, None if none is due.
+
+        Args:
+            lease: Lease under which it is written.
+            now: Seconds.
+        """
         return self.recorder.next_record(
             self.target.heartbeat,
             self.flows.flow_by_id,
             self._data_centre_of,
+            lease=lease,
             agents=self.subscribers.agents,
             now=now,
         )
@@ -655,11 +664,12 @@
         actions: list[messages.Action] = []
         self.registration_missing = not hello.registered
         self.fetcher.spread_s = pacing.document_spread_s(hello.agents)
-        self.fetcher.note_revision(balancer, hello.revision, now=now)
+        self.fetcher.note_position(balancer, hello.position, now=now)
         if hello.flows_requested:
             actions += self._send_flows(balancer)
-        if hello.revision >= self.revision and hello.revision:
-            self.revision = hello.revision
+        has_read = hello.position > store_position.UNREAD
+        if has_read and hello.position >= self.position:
+            self.position = hello.position
             self.cold_limiter.per_second = hello.cold_per_second
             if hello.evacuated != self.evacuated:
                 self.evacuated = hello.evacuated
@@ -669,7 +679,8 @@
                         {
                             "evacuated": hello.evacuated,
                             "balancer": balancer,
-                            "revision": hello.revision,
+                            "era": hello.position.era,
+                            "revision": hello.position.revision,
                         },
                     )
                 )
@@ -708,7 +719,7 @@
             work=work,
             cold_ms=self.target.cold_ms(now),
             balancers=balancers,
-            revision=self.fetcher.revision,
+            position=self.fetcher.position,
             failing=self.health.failing,
         )
         return [
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -16,6 +16,7 @@
 from godwitturn.core.transparent import peers as peer_tables
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import targets
 
 TICK_S = 0.1
@@ -54,7 +55,7 @@
         peers: The other balancers.
         fetcher: Decides when to fetch newer documents of the operators.
         configuration: The operators' configuration, None until received.
-        revision: Store revision of the newest change that is in force here.
+        position: Store position of the newest change that is in force here.
         closed_data_centres: Data centres whose targets get no new flows.
         agents_loaded: Whether the agents in the store have been read.
         stop: The graceful stop, None unless one has begun.
@@ -69,7 +70,7 @@
     peers: peer_tables.PeerTable
     fetcher: document_exchange.DocumentFetcher
     configuration: routes.Configuration | None = None
-    revision: int = 0
+    position: store_position.StorePosition = store_position.UNREAD
     closed_data_centres: frozenset[str] = frozenset()
     agents_loaded: bool = False
     stop: graceful_stop.GracefulStop | None = None
@@ -93,16 +94,22 @@
     # Configuration and membership.
 
     def configure(
-        self, configuration: routes.Configuration, *, revision: int
+        self,
+        configuration: routes.Configuration,
+        *,
+        position: store_position.StorePosition,
     ) -> list[messages.Action]:
         """Applies a configuration, unless a newer one is in force.
 
+        Operators' versions only grow, so a configuration that a restored
+        store has lost stays in force until a newer version is written.
+
         Args:
             configuration: The configuration.
-            revision: Its revision in the store.
+            position: Its position in the store.
         """
         previous = self.configuration
-        self._update_revision(revision)
+        self._update_position(position)
         if previous is not None and previous.version >= configuration.version:
             return [
                 messages.LogEvent(
@@ -110,7 +117,8 @@
                     {
                         "version": configuration.version,
                         "in_force": previous.version,
-                        "revision": revision,
+                        "era": position.era,
+                        "revision": position.revision,
                     },
                 )
             ]
@@ -124,17 +132,18 @@
                 {
                     "version": configuration.version,
                     "previous": previous.version if previous else None,
-                    "revision": revision,
+                    "era": position.era,
+                    "revision": position.revision,
                     "routes": len(configuration.route_by_endpoint),
                 },
             )
         ]
 
     def close_data_centres(
-        self, names: frozenset[str], *, revision: int
+        self, names: frozenset[str], *, position: store_position.StorePosition
     ) -> list[messages.Action]:
         """Sets the data centres whose targets get no new flows."""
-        self._update_revision(revision)
+        self._update_position(position)
         if names == self.closed_data_centres:
             return []
         self.closed_data_centres = names
@@ -143,13 +152,17 @@
         return [
             messages.LogEvent(
                 "data_centres_closed",
-                {"names": ",".join(sorted(names)), "revision": revision},
+                {
+                    "names": ",".join(sorted(names)),
+                    "era": position.era,
+                    "revision": position.revision,
+                },
             )
         ]
 
-    def _update_revision(self, revision: int) -> None:
-        self.revision = max(self.revision, revision)
-        self.fetcher.set_revision(self.revision)
+    def _update_position(self, position: store_position.StorePosition) -> None:
+        self.position = max(self.position, position)
+        self.fetcher.set_position(self.position)
 
     def register(
         self, address: str, service: str, data_centre: str, *, now: float
@@ -507,7 +520,7 @@
             case messages.Relayed(agent, forward):
                 return self._relay_packet(agent, forward, now=now)
             case messages.PeerStatus():
-                self.fetcher.note_revision(sender, message.revision, now=now)
+                self.fetcher.note_position(sender, message.position, now=now)
                 self.peers.handle_status(sender, message, now=now)
                 for agent in message.agents:
                     self.target_table.add(agent, now=now)
@@ -680,7 +693,7 @@
         *,
         now: float,
     ) -> list[messages.Action]:
-        self.fetcher.note_revision(sender, announcement.revision, now=now)
+        self.fetcher.note_position(sender, announcement.position, now=now)
         for peer in announcement.balancers:
             self.peers.add(peer, now=now)
         target = self.target_table.target_by_address.get(sender)
@@ -757,7 +770,7 @@
             self._statuses_sent_at = now
             actions += self.peers.statuses(
                 self.target_table,
-                revision=self.revision,
+                position=self.position,
                 data_centre=self.data_centre,
                 ready=self.ready(now=now),
                 now=now,
@@ -783,7 +796,7 @@
         return messages.Send(
             address,
             messages.Hello(
-                revision=self.revision,
+                position=self.position,
                 evacuated=(
                     target is not None
                     and target.data_centre in self.closed_data_centres
--- a/godwitturn/core/transparent/document_exchange.py
+++ b/godwitturn/core/transparent/document_exchange.py
@@ -2,8 +2,8 @@
 
 The store may be unavailable, or refuse calls of some machines, while daemons
 on other machines have a newer copy of the documents. Each daemon reports the
-revision of its copy. A daemon with an older copy first gives the store time to
-deliver the newer one, then fetches that from another daemon.
+position of its copy in the store. A daemon with an older copy first gives the
+store time to deliver the newer one, then fetches that from another daemon.
 
 Documents may have hundreds of kilobytes, and links may have a few megabits a
 second, so daemons choose different sources, and agents spread their requests.
@@ -13,6 +13,8 @@
 
 import attrs
 
+from godwitturn.core.transparent import store_position
+
 # Time for which a copy must be outdated before a newer one is fetched. Watches
 # deliver changes within milliseconds, so by then the store is unlikely to
 # update the copy soon.
@@ -30,11 +32,11 @@
     """A copy of the operators' documents.
 
     Attributes:
-        revision: Store revision of the copy.
+        position: Store position of the last change in the copy.
         value_by_key: The documents.
     """
 
-    revision: int
+    position: store_position.StorePosition
     value_by_key: dict[str, bytes]
 
 
@@ -51,58 +53,68 @@
     Attributes:
         name: Name of this daemon. Daemons with different names choose
             different sources and moments.
-        revision: Revision of this daemon's copy, 0 if it has none.
+        position: Store position of this daemon's copy, `UNREAD` if it has
+            none.
         interval_s: Minimum time between two requests, in seconds.
         spread_s: Time over which the daemons of a fleet spread their requests
-            for the same revision, in seconds.
-        revision_by_source: Newer revisions that other daemons have reported,
+            for the same change, in seconds.
+        position_by_source: Newer positions that other daemons have reported,
             by address. A daemon that was asked is left out until its next
             report.
     """
 
     name: str
-    revision: int = 0
+    position: store_position.StorePosition = store_position.UNREAD
     interval_s: float = REQUEST_INTERVAL_S
     spread_s: float = 0.0
-    revision_by_source: dict[str, int] = attrs.field(factory=dict)
+    position_by_source: dict[str, store_position.StorePosition] = attrs.field(
+        factory=dict
+    )
     _behind_since: float | None = None
     _requested_at: float = float("-inf")
     _requests: int = 0
 
-    def note_revision(self, source: str, revision: int, *, now: float) -> None:
-        """Records which revision another daemon has.
+    def note_position(
+        self,
+        source: str,
+        position: store_position.StorePosition,
+        *,
+        now: float,
+    ) -> None:
+        """Records which position another daemon has.
 
         Args:
             source: Address of the other daemon.
-            revision: Revision of the other daemon's copy.
+            position: Store position of the other daemon's copy.
             now: Seconds.
         """
-        if revision <= self.revision:
-            self.revision_by_source.pop(source, None)
+        if position <= self.position:
+            self.position_by_source.pop(source, None)
             return
         if self._behind_since is None:
             self._behind_since = now
-        self.revision_by_source[source] = revision
+        self.position_by_source[source] = position
 
-    def set_revision(self, revision: int) -> None:
-        """Sets the revision of this daemon's copy; it never decreases."""
-        if revision <= self.revision:
+    def set_position(self, position: store_position.StorePosition) -> None:
+        """Sets the position of this daemon's copy; it never decreases."""
+        if position <= self.position:
             return
-        self.revision = revision
-        self.revision_by_source = {
+        self.position = position
+        self.position_by_source = {
             source: newer
-            for source, newer in self.revision_by_source.items()
-            if newer > revision
+            for source, newer in self.position_by_source.items()
+            if newer > position
         }
-        if not self.revision_by_source:
+        if not self.position_by_source:
             self._behind_since = None
 
     def next_source(self, *, now: float) -> str | None:
         """Returns the daemon to fetch from now, None if no fetch is due."""
-        if self._behind_since is None or not self.revision_by_source:
+        if self._behind_since is None or not self.position_by_source:
             return None
-        delay_s = STORE_DELAY_S if self.revision else FIRST_DELAY_S
-        phase = _hash(f"{self.name}/{self.revision}") / (1 << 32)
+        has_copy = self.position > store_position.UNREAD
+        delay_s = STORE_DELAY_S if has_copy else FIRST_DELAY_S
+        phase = _hash(f"{self.name}/{self.position.revision}") / (1 << 32)
         delay_s += self.spread_s * phase
         if now - self._behind_since < delay_s:
             return None
@@ -110,13 +122,15 @@
             return None
         self._requested_at = now
         self._requests += 1
-        newest = max(self.revision_by_source.values())
+        newest = max(self.position_by_source.values())
         sources = sorted(
             source
-            for source, revision in self.revision_by_source.items()
-            if revision == newest
+            for source, position in self.position_by_source.items()
+            if position == newest
+        )
+        choice = _hash(f"{self.name}/{newest.revision}/{self._requests}") / (
+            1 << 32
         )
-        choice = _hash(f"{self.name}/{newest}/{self._requests}") / (1 << 32)
         source = sources[int(choice * len(sources))]
-        del self.revision_by_source[source]
+        del self.position_by_source[source]
         return source
--- a/godwitturn/core/transparent/flow_record.py
+++ b/godwitturn/core/transparent/flow_record.py
@@ -103,6 +103,7 @@
     read_finished: bool = False
     _earlier_record: FlowRecord | None = None
     _written_record: FlowRecord | None = None
+    _lease: int = 0
     _due_at: float = 0.0
 
     def record_read_failure(self) -> bool:
@@ -212,6 +213,7 @@
         flow_by_id: MutableMapping[segments.FlowId, agent_flows.Flow],
         data_centre_of: Callable[[agent_flows.Flow], str],
         *,
+        lease: int,
         agents: int,
         now: float,
     ) -> FlowRecord | None:
@@ -222,6 +224,7 @@
             flow_by_id: Tracked flows.
             data_centre_of: Returns the data centre of the balancers that
                 forward a flow's packets.
+            lease: Lease under which a record is written now.
             agents: Number of agents in the fleet.
             now: Seconds.
         """
@@ -248,14 +251,16 @@
                 for flow_id in long_flow_ids[:MAX_FLOWS]
             },
         )
-        return record if self.differs_from_written(record) else None
+        if self.differs_from_written(record, lease=lease):
+            return record
+        return None
 
-    def differs_from_written(self, record: FlowRecord) -> bool:
+    def differs_from_written(self, record: FlowRecord, *, lease: int) -> bool:
         """Returns whether a record differs enough from the last one written.
 
-        If so, it has to be written.
+        If so, it has to be written. A record under an earlier lease is gone.
         """
-        written = self._written_record
+        written = self._written_record if lease == self._lease else None
         if written is None:
             return bool(record.flow_by_id)
         if written.incarnation != record.incarnation:
@@ -269,6 +274,7 @@
             for flow_id, flow in record.flow_by_id.items()
         )
 
-    def note_written(self, record: FlowRecord) -> None:
-        """Sets the record that was last written to the store."""
+    def note_written(self, record: FlowRecord, *, lease: int) -> None:
+        """Sets the record that was last written, and its lease."""
         self._written_record = record
+        self._lease = lease
--- a/godwitturn/core/transparent/introspection.py
+++ b/godwitturn/core/transparent/introspection.py
@@ -13,7 +13,8 @@
         "version": (
             balancer.configuration.version if balancer.configuration else None
         ),
-        "revision": balancer.revision,
+        "era": balancer.position.era,
+        "revision": balancer.position.revision,
         "closed_data_centres": sorted(balancer.closed_data_centres),
         "stopping": balancer.stop is not None,
         "peers": sorted(balancer.peers.peer_by_address),
@@ -49,7 +50,8 @@
         "heartbeat_age_s": round(now - target.heartbeat_at, 2),
         "failing": agent.health.failing,
         "evacuated": agent.evacuated,
-        "revision": agent.revision,
+        "era": agent.position.era,
+        "revision": agent.position.revision,
         "flows": len(agent.flows.flow_by_id),
         "waiting": agent.waiting_count,
         "balancers": {
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import store_position
 
 
 class Refusal(enum.IntEnum):
@@ -170,7 +171,7 @@
         cold_ms: Milliseconds for which the target stays cold.
         balancers: Addresses of the agent's balancers; empty in most
             announcements.
-        revision: Store revision of the agent's copy of the operators'
+        position: Store position of the agent's copy of the operators'
             documents.
         failing: Whether the target fails many of its requests.
     """
@@ -187,7 +188,7 @@
     work: int
     cold_ms: int
     balancers: tuple[str, ...]
-    revision: int
+    position: store_position.StorePosition
     failing: bool = False
 
 
@@ -196,8 +197,8 @@
     """A balancer announces itself to an agent and sends it settings.
 
     Attributes:
-        revision: Store revision that `evacuated` and `cold_per_second` come
-            from, 0 if the balancer has no configuration.
+        position: Store position that `evacuated` and `cold_per_second` come
+            from.
         evacuated: Whether the agent's data centre must get no new flows.
         cold_per_second: Requests a second that a cold target can handle; 0 if
             the service sets no limit or isn't in the configuration.
@@ -208,7 +209,7 @@
             because the balancer has received no message from the agent yet.
     """
 
-    revision: int
+    position: store_position.StorePosition
     evacuated: bool
     cold_per_second: float
     registered: bool
@@ -222,8 +223,8 @@
     """A balancer's report to another balancer.
 
     Attributes:
-        revision: Store revision of the sender's configuration, 0 if it has
-            none.
+        position: Store position of the sender's copy of the operators'
+            documents.
         agents: Addresses of agents that the sender has added or received
             messages from lately. Most reports list only the added ones.
         data_centre: Data centre of the sender.
@@ -233,7 +234,7 @@
             messages from lately.
     """
 
-    revision: int
+    position: store_position.StorePosition
     agents: tuple[str, ...]
     data_centre: str
     ready: bool
--- a/godwitturn/core/transparent/mirror.py
+++ b/godwitturn/core/transparent/mirror.py
@@ -5,6 +5,7 @@
 import attrs
 
 from godwitturn.core.transparent import document_exchange
+from godwitturn.core.transparent import store_position
 
 # The delay before a retry doubles with each failure, from the minimum to the
 # maximum. Jitter then shortens it by up to a half.
@@ -24,7 +25,8 @@
     Attributes:
         key: The key.
         value: Its value, None if the key was deleted.
-        revision: Store revision of the last change.
+        revision: Store revision of the last change, 0 for a key that was kept
+            although the restored store lacks it.
     """
 
     key: str
@@ -69,12 +71,12 @@
     Attributes:
         items: The keys.
         more: Whether more pages follow.
-        revision: The store's revision.
+        position: The store's position.
     """
 
     items: tuple[Item, ...]
     more: bool
-    revision: int
+    position: store_position.StorePosition
 
 
 @attrs.define(frozen=True, repr=False)
@@ -83,11 +85,11 @@
 
     Attributes:
         items: The changes in order.
-        revision: Revision from which the next watch continues.
+        position: Position from which the next watch continues.
     """
 
     items: tuple[Item, ...]
-    revision: int
+    position: store_position.StorePosition
 
 
 class Failure(enum.Enum):
@@ -109,11 +111,13 @@
         wait_s: Seconds that a watch waits for changes.
         pause_s: Seconds from the end of one watch to the next, which then
             returns all changes of that time in one call.
-        item_by_key: The keys, as of `revision`.
-        revision: Store revision of the mirror, 0 before the first read.
-        last_change_revision: Revision of the last change under the prefix.
-            The store counts changes of all keys, so `revision` also grows
-            without changes under the prefix.
+        restore_grace_s: Seconds after a restore of the store for which keys
+            that it lacks are kept.
+        item_by_key: The keys, as of `position`.
+        position: Store position of the mirror, `UNREAD` before the first read.
+        last_change: Position of the last change under the prefix. The store
+            counts changes of all keys, so `position` also grows without
+            changes under the prefix.
         synced: Whether the whole prefix has been read since the start.
         failures: Number of calls that failed since the last success.
     """
@@ -121,22 +125,37 @@
     prefix: str
     wait_s: float
     pause_s: float = 0.0
+    restore_grace_s: float = 0.0
     item_by_key: dict[str, Item] = attrs.field(factory=dict)
-    revision: int = 0
-    last_change_revision: int = 0
+    position: store_position.StorePosition = store_position.UNREAD
+    last_change: store_position.StorePosition = store_position.UNREAD
     synced: bool = False
     failures: int = 0
     _reading: bool = True
     _page_after: str = ""
     _read_by_key: dict[str, Item] = attrs.field(factory=dict)
-    _read_revision: int = 0
+    _read_position: store_position.StorePosition | None = None
+    # Position that the watch in progress continues from.
+    _watched_position: store_position.StorePosition = store_position.UNREAD
+    # When keys that the restored store lacks are removed, if there are any.
+    _grace_ends_at: float | None = None
 
-    def next_call(self) -> ReadPage | Watch:
+    def next_call(self, *, now: float) -> ReadPage | Watch:
         """Returns the call to make next."""
+        grace_ends_at = self._grace_ends_at
+        if grace_ends_at is not None and now >= grace_ends_at:
+            self._reading = True
         if self._reading:
             return ReadPage(self.prefix, self._page_after)
+        self._watched_position = self.position
+        wait_s = self.wait_s
+        if grace_ends_at is not None:
+            wait_s = min(wait_s, grace_ends_at - now)
         return Watch(
-            self.prefix, self.revision, self.wait_s, self._max_watch_bytes()
+            self.prefix,
+            self.position.revision,
+            wait_s,
+            self._max_watch_bytes(),
         )
 
     def _max_watch_bytes(self) -> int:
@@ -151,7 +170,7 @@
         self._reading = True
         self._page_after = ""
         self._read_by_key = {}
-        self._read_revision = 0
+        self._read_position = None
 
     def delay_s(self, jitter: float) -> float:
         """Returns the seconds to wait before the next call.
@@ -165,28 +184,37 @@
         delay_s = MIN_RETRY_S * 2 ** min(self.failures - 1, 8)
         return min(MAX_RETRY_S, delay_s) * (0.5 + 0.5 * jitter)
 
-    def handle_result(self, result: Page | Changes | Failure) -> list[Item]:
+    def handle_result(
+        self, result: Page | Changes | Failure, *, now: float
+    ) -> list[Item]:
         """Applies the result of the last call.
 
+        Args:
+            result: The result.
+            now: Seconds.
+
         Returns:
             The changes, in order; deleted keys have the value None.
         """
         match result:
             case Page():
                 self.failures = 0
-                return self._apply_page(result)
+                return self._apply_page(result, now=now)
             case Changes():
                 self.failures = 0
                 return self._apply_changes(result)
             case Failure.HISTORY_GONE | Failure.TOO_LARGE:
                 self.restart_read()
             case _:
-                self.failures += 1
-                # By the time of the retry, a watch may no longer return the
-                # changes since `revision`.
-                self.restart_read()
+                self._handle_failure()
         return []
 
+    def _handle_failure(self) -> None:
+        self.failures += 1
+        # By the time of the retry, a watch may no longer return the changes
+        # since `position`.
+        self.restart_read()
+
     def adopt(self, copy: document_exchange.Documents) -> list[Item]:
         """Applies a newer copy that was fetched from another daemon.
 
@@ -195,12 +223,42 @@
         Returns:
             The changes; deleted keys have the value None.
         """
-        if copy.revision <= self.revision:
+        if copy.position <= self.position:
             return []
+        revision = copy.position.revision
         items = {
-            key: Item(key, value, copy.revision)
+            key: Item(key, value, revision)
             for key, value in copy.value_by_key.items()
         }
+        changes = self._replace_items(items, revision)
+        self.position = copy.position
+        self.last_change = copy.position
+        self._grace_ends_at = None
+        return changes
+
+    def documents(self) -> document_exchange.Documents:
+        """Returns the documents, for daemons that fetch them."""
+        return document_exchange.Documents(
+            self.last_change,
+            {
+                key: item.value
+                for key, item in self.item_by_key.items()
+                if item.value is not None
+            },
+        )
+
+    def _replace_items(
+        self, items: dict[str, Item], revision: int
+    ) -> list[Item]:
+        """Replaces all items.
+
+        Args:
+            items: The new items by key.
+            revision: Revision to report for deleted keys.
+
+        Returns:
+            The changes; deleted keys have the value None.
+        """
         changes = [
             item
             for key, item in items.items()
@@ -208,62 +266,90 @@
             or self.item_by_key[key].value != item.value
         ]
         changes += [
-            Item(key, None, copy.revision)
+            Item(key, None, revision)
             for key in self.item_by_key
             if key not in items
         ]
         self.item_by_key = items
-        self.revision = copy.revision
-        self.last_change_revision = copy.revision
         return changes
 
-    def documents(self) -> document_exchange.Documents:
-        """Returns the documents, for daemons that fetch them."""
-        return document_exchange.Documents(
-            self.last_change_revision,
-            {
-                key: item.value
-                for key, item in self.item_by_key.items()
-                if item.value is not None
-            },
-        )
-
-    def _apply_page(self, page: Page) -> list[Item]:
-        if not self._read_revision:
-            # Pages aren't one snapshot. A watch from the first page's revision
+    def _apply_page(self, page: Page, *, now: float) -> list[Item]:
+        if self._read_position is None:
+            # Pages aren't one snapshot. A watch from the first page's position
             # returns what changed in between.
-            self._read_revision = page.revision
+            self._read_position = page.position
+        if page.position.era != self._read_position.era:
+            self.restart_read()
+            return []
         for item in page.items:
             self._read_by_key[item.key] = item
         if page.more and page.items:
             self._page_after = page.items[-1].key
             return []
-        read, revision = self._read_by_key, self._read_revision
+        read, position = self._read_by_key, self._read_position
+        if position < self.position:
+            # The answer is older than a copy that was adopted meanwhile.
+            self._handle_failure()
+            return []
         self.restart_read()
         self._reading = False
-        if revision < self.revision:
-            # The store lags behind the mirror.
-            self.restart_read()
-            self.failures += 1
-            return []
-        changes = [
-            item
-            for key, item in read.items()
-            if key not in self.item_by_key
-            or self.item_by_key[key].revision < item.revision
-        ]
-        changes += [
-            Item(key, None, revision)
-            for key in self.item_by_key
-            if key not in read
-        ]
-        self.item_by_key = read
-        self.revision = revision
+        kept = self._kept_after_restore(read, position, now=now)
+        # An item may have changed after the first page was read.
+        newest = max((item.revision for item in read.values()), default=0)
+        changes = self._replace_items({**kept, **read}, position.revision)
+        if any(change.value is None for change in changes):
+            newest = max(newest, position.revision)
+        self.last_change = max(
+            self.last_change,
+            store_position.StorePosition(position.era, newest),
+        )
+        self.position = position
         self.synced = True
-        self._update_last_change(changes)
         return changes
 
+    def _kept_after_restore(
+        self,
+        read: dict[str, Item],
+        position: store_position.StorePosition,
+        *,
+        now: float,
+    ) -> dict[str, Item]:
+        """Returns the keys that are kept although the store lacks them.
+
+        A restored store has lost the latest changes. Their writers write them
+        again, so keys aren't removed before `restore_grace_s` has passed.
+        """
+        if position.era > self.position.era and self.restore_grace_s:
+            self._grace_ends_at = now + self.restore_grace_s
+            candidates = self.item_by_key
+        elif self._grace_ends_at is not None and now < self._grace_ends_at:
+            candidates = {
+                key: item
+                for key, item in self.item_by_key.items()
+                if not item.revision
+            }
+        else:
+            self._grace_ends_at = None
+            return {}
+        kept = {
+            key: Item(key, item.value, 0)
+            for key, item in candidates.items()
+            if key not in read
+        }
+        if not kept:
+            self._grace_ends_at = None
+        return kept
+
     def _apply_changes(self, changes: Changes) -> list[Item]:
+        if changes.position.era != self._watched_position.era:
+            # The store was restored: its revisions don't continue those of
+            # the watch.
+            self.restart_read()
+            return []
+        if changes.position.era < self.position.era:
+            # A copy of a later era was adopted meanwhile.
+            self._handle_failure()
+            return []
         applied = []
         for item in changes.items:
             current = self.item_by_key.get(item.key)
@@ -276,12 +362,10 @@
             else:
                 self.item_by_key[item.key] = item
             applied.append(item)
-        self.revision = max(self.revision, changes.revision)
-        self._update_last_change(applied)
-        return applied
-
-    def _update_last_change(self, changes: list[Item]) -> None:
-        revisions = [change.revision for change in changes]
-        self.last_change_revision = max(
-            [self.last_change_revision, *revisions]
+        self.position = max(self.position, changes.position)
+        newest = max((item.revision for item in applied), default=0)
+        self.last_change = max(
+            self.last_change,
+            store_position.StorePosition(changes.position.era, newest),
         )
+        return applied
--- a/godwitturn/core/transparent/peers.py
+++ b/godwitturn/core/transparent/peers.py
@@ -3,6 +3,7 @@
 import attrs
 
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import targets
 
 STATUS_INTERVAL_S = 0.5
@@ -117,7 +118,7 @@
         self,
         target_table: targets.TargetTable,
         *,
-        revision: int,
+        position: store_position.StorePosition,
         data_centre: str,
         ready: bool,
         now: float,
@@ -150,7 +151,7 @@
                 peer.agents_sent_at = now
             agents = all_agents if sends_all else new_agents
             status = messages.PeerStatus(
-                revision, agents, data_centre, ready, silent
+                position, agents, data_centre, ready, silent
             )
             actions.append(messages.Send(address, status))
         return actions
--- a/godwitturn/core/transparent/registration.py
+++ b/godwitturn/core/transparent/registration.py
@@ -98,6 +98,9 @@
     Attributes:
         key: Key of the entry.
         value: Its value.
+        era: Newest era of the store that an answer was given in. Leases and
+            entries of earlier eras are gone, and the ids of their leases may
+            belong to others.
         lease: Id of the lease, 0 if there is none.
         written: Whether the entry was written under the lease.
         due_at: When the next call is due, in seconds.
@@ -107,6 +110,7 @@
 
     key: str
     value: bytes
+    era: int = 0
     lease: int = 0
     written: bool = False
     due_at: float = 0.0
@@ -135,11 +139,21 @@
             self.written = False
             self.due_at = now
 
+    def is_lost(self, result: Granted | Outcome, *, era: int) -> bool:
+        """Returns whether a result shows that lease and entry are gone.
+
+        Args:
+            result: Result of a call under the lease.
+            era: Era of the store in which the result was given.
+        """
+        return era > self.era or result == Outcome.LEASE_GONE
+
     def handle_result(
         self,
         call: Call,
         result: Granted | Outcome,
         *,
+        era: int,
         now: float,
         jitter: float,
     ) -> None:
@@ -148,10 +162,17 @@
         Args:
             call: The call.
             result: Its result.
+            era: Era of the store in which the result was given.
             now: Seconds.
             jitter: A random number from 0 to 1. Agents whose calls failed at
                 the same time then don't retry at the same time.
         """
+        if era < self.era:
+            result = Outcome.FAILED  # of a state that the store has lost
+        elif era > self.era:
+            self.era = era
+            if not isinstance(result, Granted):
+                result = Outcome.LEASE_GONE
         match call, result:
             case _, Outcome.FAILED:
                 self.failures += 1
--- a/godwitturn/daemons/http_client.py
+++ b/godwitturn/daemons/http_client.py
@@ -31,6 +31,7 @@
         is_receiving: Whether a part of a response has arrived.
         is_body_too_large: Whether the last call failed because its response
             was larger than the call allowed.
+        value_by_header: Headers of the last response, by lower-case name.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         self._keep_alive = False
         self.is_receiving = False
         self.is_body_too_large = False
+        self.value_by_header: dict[bytes, bytes] = {}
 
     def call(
         self,
@@ -82,6 +84,7 @@
         self._max_body_bytes = max_body_bytes
         self.is_receiving = False
         self.is_body_too_large = False
+        self.value_by_header = {}
         self._is_length_known = False
         self._is_complete = False
         self._timer = self._loop.call_later(timeout_s, self._fail)
@@ -175,8 +178,9 @@
     # Callbacks of the parser
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Records whether a header tells where the body ends."""
+        """Records a header, and whether it tells where the body ends."""
         name = name.lower()
+        self.value_by_header[name] = value
         if name in (b"content-length", b"transfer-encoding"):
             self._is_length_known = True
         if name == b"content-length" and value.isdigit():
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -8,6 +8,7 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
+from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import subscribers as subscriber_tables
 from godwitturn.core.transparent import target_watch
 from godwitturn.daemons import http_client
@@ -67,7 +68,9 @@
                 ),
             )
         )
-        self.operator_documents = document_exchange.Documents(0, {})
+        self.operator_documents = document_exchange.Documents(
+            store_position.UNREAD, {}
+        )
         self.registration = registration.Registration(
             documents.AGENT_PREFIX + settings.address,
             documents.encode_agent_entry(
@@ -108,10 +111,10 @@
         Returns:
             Whether the copy is newer.
         """
-        if copy.revision <= self.operator_documents.revision:
+        if copy.position <= self.operator_documents.position:
             return False
         self.operator_documents = copy
-        self.core.fetcher.set_revision(copy.revision)
+        self.core.fetcher.set_position(copy.position)
         return True
 
     def update_registration(self) -> None:
@@ -121,11 +124,14 @@
             return
         self.store_busy = True
 
-        def done(result: registration.Granted | registration.Outcome) -> None:
+        def done(
+            result: registration.Granted | registration.Outcome, era: int
+        ) -> None:
             failures = self.registration.failures
             self.registration.handle_result(
                 call,
                 result,
+                era=era,
                 now=self.loop.now,
                 jitter=os_random.random_fraction(),
             )
@@ -136,6 +142,7 @@
                 self.log_event(
                     "registration",
                     call=name,
+                    era=self.registration.era,
                     lease=self.registration.lease,
                     written=self.registration.written,
                 )
@@ -160,7 +167,7 @@
             self.end()
             return
         self.store_busy = True
-        self.store.write(call, lambda _: self.end())
+        self.store.write(call, lambda *_: self.end())
 
     def read_flow_record(self) -> None:
         """Reads the flow record that an earlier run left in the store."""
@@ -210,25 +217,27 @@
         """Writes the flow record, if that is due."""
         if self.store_busy or self.stopping or not self.registration.written:
             return
-        record = self.core.next_record(now=self.loop.now)
+        lease = self.registration.lease
+        record = self.core.next_record(lease=lease, now=self.loop.now)
         if record is None:
             return
         call = registration.PutEntry(
-            self.flow_record_key,
-            flow_records.encode(record),
-            self.registration.lease,
+            self.flow_record_key, flow_records.encode(record), lease
         )
         self.store_busy = True
 
-        def done(result: registration.Granted | registration.Outcome) -> None:
+        def done(
+            result: registration.Granted | registration.Outcome, era: int
+        ) -> None:
             if result == registration.Outcome.DONE:
-                self.core.recorder.note_written(record)
+                self.core.recorder.note_written(record, lease=lease)
             else:
                 self.log_event("store_call_failed", call="flow record")
-            if result == registration.Outcome.LEASE_GONE:
+            if self.registration.is_lost(result, era=era):
                 self.registration.handle_result(
                     call,
                     result,
+                    era=era,
                     now=self.loop.now,
                     jitter=os_random.random_fraction(),
                 )
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -11,6 +11,7 @@
 from godwitturn.daemons import metrics_page
 from godwitturn.daemons import os_random
 from godwitturn.platform import documents
+from godwitturn.platform import operator_changes
 from godwitturn.platform import program
 from godwitturn.platform import settings as settings_module
 from godwitturn.platform import store
@@ -21,6 +22,9 @@
 # The same for agents' entries. It is longer, because agents also announce
 # themselves to balancers directly.
 AGENT_WATCH_WAIT_S = 10.0
+# Time after a restore of the store within which operators write again what it
+# has lost. Until then, an evacuation that it lacks stays in force.
+RESTORE_GRACE_S = 5.0
 # Pause between watches of agents' entries. During a release, entries change
 # many times a second, and each change would end the watches of all balancers.
 AGENT_WATCH_PAUSE_S = registration.PROPAGATION_S
@@ -41,12 +45,18 @@
         self.was_ready = False
         self.store_clients: list[http_client.HttpClient] = []
         self.operator_mirror = self._start_mirror(
-            documents.OPERATOR_PREFIX, OPERATOR_WATCH_WAIT_S
+            mirror.Mirror(
+                documents.OPERATOR_PREFIX,
+                OPERATOR_WATCH_WAIT_S,
+                restore_grace_s=RESTORE_GRACE_S,
+            )
         )
         self._start_mirror(
-            documents.AGENT_PREFIX,
-            AGENT_WATCH_WAIT_S,
-            pause_s=AGENT_WATCH_PAUSE_S,
+            mirror.Mirror(
+                documents.AGENT_PREFIX,
+                AGENT_WATCH_WAIT_S,
+                pause_s=AGENT_WATCH_PAUSE_S,
+            )
         )
         self.start_http_servers(
             metrics_page.MetricsPage(
@@ -60,24 +70,15 @@
         for seed in settings.seeds:
             self.core.peers.add(seed, now=self.loop.now)
 
-    def _start_mirror(
-        self, prefix: str, wait_s: float, *, pause_s: float = 0.0
-    ) -> mirror.Mirror:
-        """Starts a mirror of a prefix of the store.
-
-        Args:
-            prefix: The prefix.
-            wait_s: Seconds after which the store replies if nothing changes.
-            pause_s: Seconds between two watches, so that the second one
-                returns all changes of that time.
-        """
-        store_mirror = mirror.Mirror(prefix, wait_s, pause_s)
+    def _start_mirror(self, store_mirror: mirror.Mirror) -> mirror.Mirror:
+        """Starts the calls of a mirror of a prefix of the store."""
+        prefix = store_mirror.prefix
         client = http_client.HttpClient(self.loop, self.settings.store)
         self.store_clients.append(client)
         connection = store.Store(client)
 
         def call() -> None:
-            next_call = store_mirror.next_call()
+            next_call = store_mirror.next_call(now=self.loop.now)
             started_at = self.loop.now
             connection.read(
                 next_call,
@@ -92,7 +93,7 @@
             result: mirror.Page | mirror.Changes | mirror.Failure,
         ) -> None:
             earlier_failures = store_mirror.failures
-            changes = store_mirror.handle_result(result)
+            changes = store_mirror.handle_result(result, now=self.loop.now)
             if isinstance(result, mirror.Failure):
                 self.log_event(
                     "store_call_failed",
@@ -106,8 +107,10 @@
                 self.log_event(
                     "store_answer_outdated",
                     prefix=prefix,
-                    revision=result.revision,
-                    held=store_mirror.revision,
+                    era=result.position.era,
+                    revision=result.position.revision,
+                    held_era=store_mirror.position.era,
+                    held_revision=store_mirror.position.revision,
                     failures=store_mirror.failures,
                 )
             elif earlier_failures:
@@ -138,7 +141,7 @@
         Returns:
             Whether the copy is newer.
         """
-        newer = copy.revision > self.operator_mirror.revision
+        newer = copy.position > self.operator_mirror.position
         changes = self.operator_mirror.adopt(copy)
         self.handle_store_changes(self.operator_mirror, changes)
         return newer
@@ -160,33 +163,8 @@
             for item in changes:
                 self._apply_agent_entry(item)
             return
-        # A batch may contain several versions, and decoding takes long.
-        newest_by_key = {item.key: item for item in changes}
-        configuration = newest_by_key.get(documents.CONFIGURATION_KEY)
-        if configuration is not None and configuration.value:
-            self._apply_configuration(configuration)
-        if store_mirror.revision:
-            evacuated = frozenset(
-                name
-                for name in map(
-                    documents.evacuated_data_centre, store_mirror.item_by_key
-                )
-                if name is not None
-            )
-            self.perform(
-                self.core.close_data_centres(
-                    evacuated, revision=store_mirror.last_change_revision
-                )
-            )
-
-    def _apply_configuration(self, item: mirror.Item) -> None:
-        try:
-            configuration = documents.decode_configuration(item.value or b"")
-        except documents.MalformedError as exc:
-            self.log_event("malformed_document", key=item.key, error=str(exc))
-            return
         self.perform(
-            self.core.configure(configuration, revision=item.revision)
+            operator_changes.apply_changes(self.core, store_mirror, changes)
         )
 
     def _apply_agent_entry(self, item: mirror.Item) -> None:
--- a/godwitturn/platform/documents.py
+++ b/godwitturn/platform/documents.py
@@ -8,6 +8,7 @@
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import routes
+from godwitturn.core.transparent import store_position
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
@@ -122,7 +123,8 @@
         key: base64.b64encode(value).decode()
         for key, value in copy.value_by_key.items()
     }
-    return json.dumps([copy.revision, values]).encode()
+    position = [copy.position.era, copy.position.revision]
+    return json.dumps([position, values]).encode()
 
 
 def decode_documents(data: bytes) -> document_exchange.Documents:
@@ -132,9 +134,9 @@
         MalformedError: If it can't be decoded.
     """
     try:
-        revision, values = json.loads(data)
+        (era, revision), values = json.loads(data)
         return document_exchange.Documents(
-            int(revision),
+            store_position.StorePosition(int(era), int(revision)),
             {
                 str(key): base64.b64decode(value)
                 for key, value in values.items()
--- a/godwitturn/platform/program.py
+++ b/godwitturn/platform/program.py
@@ -167,17 +167,20 @@
             self.log_event(
                 "documents_received",
                 holder=source,
-                revision=copy.revision,
+                era=copy.position.era,
+                revision=copy.position.revision,
                 bytes=len(body),
                 seconds=seconds,
             )
-            held = self.documents_copy().revision
+            held = self.documents_copy().position
             if not self.adopt_documents(copy):
                 self.log_event(
                     "documents_outdated",
                     holder=source,
-                    revision=copy.revision,
-                    held=held,
+                    era=copy.position.era,
+                    revision=copy.position.revision,
+                    held_era=held.era,
+                    held_revision=held.revision,
                 )
 
         client.call("GET", DOCUMENTS_PATH, b"", DOCUMENTS_TIMEOUT_S, done)
--- a/godwitturn/platform/store.py
+++ b/godwitturn/platform/store.py
@@ -11,6 +11,7 @@
 
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
+from godwitturn.core.transparent import store_position
 from godwitturn.daemons import http_client
 from godwitturn.daemons import reactor
 from godwitturn.platform import documents
@@ -21,6 +22,7 @@
 # The same for a watch, beyond the time that the store waits.
 WATCH_MARGIN_S = 1.0
 
+_ERA_HEADER = b"store-era"
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -56,7 +58,7 @@
             if self._client.is_body_too_large:
                 done(mirror.Failure.TOO_LARGE)
             else:
-                done(_decode_read_result(call, status, body))
+                done(_decode_read_result(call, status, self._era(), body))
 
         self._client.call(
             "GET",
@@ -70,16 +72,29 @@
     def write(
         self,
         call: registration.Call,
-        done: Callable[[registration.Granted | registration.Outcome], None],
+        done: Callable[
+            [registration.Granted | registration.Outcome, int], None
+        ],
     ) -> None:
-        """Changes a lease or an entry; `done` receives the result."""
+        """Changes a lease or an entry.
+
+        Args:
+            call: The change.
+            done: Receives the result and the era of the store in which it was
+                given; 0 without an answer.
+        """
         method, path, body = _encode_write(call)
 
         def handle_answer(status: int | None, body: bytes) -> None:
-            done(_decode_write_result(call, status, body))
+            done(_decode_write_result(call, status, body), self._era())
 
         self._client.call(method, path, body, CALL_TIMEOUT_S, handle_answer)
 
+    def _era(self) -> int:
+        """Returns the era in the last answer; one without an era is of 0."""
+        value = self._client.value_by_header.get(_ERA_HEADER, b"0").strip()
+        return int(value) if value.isdigit() and len(value) < 16 else 0
+
 
 def read_operator_documents(
     address: tuple[str, int],
@@ -117,7 +132,10 @@
 
 
 def _decode_read_result(
-    call: mirror.ReadPage | mirror.Watch, status: int | None, body: bytes
+    call: mirror.ReadPage | mirror.Watch,
+    status: int | None,
+    era: int,
+    body: bytes,
 ) -> mirror.Page | mirror.Changes | mirror.Failure:
     if status is None:
         return mirror.Failure.UNREACHABLE
@@ -127,16 +145,18 @@
         return mirror.Failure.REFUSED
     try:
         answer = json.loads(body)
+        position = store_position.StorePosition(era, int(answer["at"]))
         if isinstance(call, mirror.Watch):
-            items = tuple(_decode_item(row) for row in answer["events"])
-            return mirror.Changes(items, int(answer["at"]))
-        items = tuple(_decode_item(row) for row in answer["items"])
-        return mirror.Page(items, bool(answer["has_more"]), int(answer["at"]))
+            items = tuple(decode_item(row) for row in answer["events"])
+            return mirror.Changes(items, position)
+        items = tuple(decode_item(row) for row in answer["items"])
+        return mirror.Page(items, bool(answer["has_more"]), position)
     except (ValueError, TypeError, KeyError):
         return mirror.Failure.MALFORMED
 
 
-def _decode_item(row: dict[str, Any]) -> mirror.Item:
+def decode_item(row: dict[str, Any]) -> mirror.Item:
+    """Decodes an item or an event of an answer."""
     if row.get("deleted"):
         return mirror.Item(row["key"], None, int(row["revision"]))
     value = base64.b64decode(row["value"])
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -12,6 +12,7 @@
 
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import store_position
 
 _KIND_FORWARD = 1
 _KIND_OPENING_REFUSED = 2
@@ -80,13 +81,13 @@
                 message.work,
                 message.cold_ms,
                 message.balancers,
-                message.revision,
+                _encode_position(message.position),
                 message.failing,
             ]
             return _encode_json(_KIND_ANNOUNCEMENT, fields)
         case messages.Hello():
             fields = [
-                message.revision,
+                _encode_position(message.position),
                 message.evacuated,
                 message.cold_per_second,
                 message.registered,
@@ -97,7 +98,7 @@
             return _encode_json(_KIND_HELLO, fields)
         case messages.PeerStatus():
             fields = [
-                message.revision,
+                _encode_position(message.position),
                 message.agents,
                 message.data_centre,
                 message.ready,
@@ -111,6 +112,15 @@
     return bytes((kind,)) + text.encode()
 
 
+def _encode_position(position: store_position.StorePosition) -> list[int]:
+    return [position.era, position.revision]
+
+
+def _decode_position(fields: Any) -> store_position.StorePosition:
+    era, revision = fields
+    return store_position.StorePosition(int(era), int(revision))
+
+
 def decode(data: bytes) -> messages.Message | None:
     """Returns the message in a datagram, or None if it is malformed."""
     try:
@@ -147,11 +157,11 @@
         case 6:
             return _make_hello(*json.loads(data[1:]))
         case 7:
-            revision, agents, data_centre, ready, silent_agents = json.loads(
+            position, agents, data_centre, ready, silent_agents = json.loads(
                 data[1:]
             )
             return messages.PeerStatus(
-                int(revision),
+                _decode_position(position),
                 _string_tuple(agents),
                 str(data_centre),
                 bool(ready),
@@ -174,7 +184,7 @@
 
 
 def _make_hello(
-    revision: Any,
+    position: Any,
     evacuated: Any,
     cold_per_second: Any,
     registered: Any,
@@ -183,7 +193,7 @@
     flows_requested: Any,
 ) -> messages.Hello:
     return messages.Hello(
-        revision=int(revision),
+        position=_decode_position(position),
         evacuated=bool(evacuated),
         cold_per_second=float(cold_per_second),
         registered=bool(registered),
@@ -206,7 +216,7 @@
     work: Any,
     cold_ms: Any,
     balancers: Any,
-    revision: Any,
+    position: Any,
     failing: Any = False,
 ) -> messages.Announcement:
     return messages.Announcement(
@@ -222,7 +232,7 @@
         work=int(work),
         cold_ms=int(cold_ms),
         balancers=_string_tuple(balancers),
-        revision=int(revision),
+        position=_decode_position(position),
         failing=bool(failing),
     )
 
--- a/godwitturn/standins/transparent_simulation.py
+++ b/godwitturn/standins/transparent_simulation.py
@@ -22,6 +22,7 @@
 from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import target_watch
 from godwitturn.platform import packets
 from godwitturn.protocol import transparent
@@ -332,9 +333,13 @@
     def configure(self, balancer: balancers.Balancer) -> None:
         """Applies the configuration in the store to a balancer."""
         version = self.configuration.version
-        actions = balancer.configure(self.configuration, revision=version)
+        actions = balancer.configure(
+            self.configuration,
+            position=store_position.StorePosition(0, version),
+        )
         actions += balancer.close_data_centres(
-            self.closed_data_centres, revision=version
+            self.closed_data_centres,
+            position=store_position.StorePosition(0, version),
         )
         self.perform(balancer.address, actions)
 
--- a/godwitturn/tests/test_bytecode.py
+++ b/godwitturn/tests/test_bytecode.py
@@ -1,6 +1,7 @@
 """Tests of the bytecode compiler."""
 
 import ast
+import operator
 import pathlib
 import subprocess
 import sys
@@ -47,6 +48,12 @@
         return count
 
 
+@attrs.define(frozen=True, order=True, repr=False)
+class Version:
+    major: int
+    minor: int = 0
+
+
 @attrs.define(repr=False)
 class Mutable:
     value: float = 0.5
@@ -73,6 +80,16 @@
         self.assertNotIn("attrs", expanded)
         self.assertNotIn("Any", expanded)
 
+    def test_ordered_classes_compare_by_fields(self) -> None:
+        for namespace in self.namespaces:
+            version = namespace["Version"]
+            versions = [version(2, 1), version(1, 9), version(2)]
+            ordered = [(v.major, v.minor) for v in sorted(versions)]
+            self.assertEqual([(1, 9), (2, 0), (2, 1)], ordered)
+            self.assertTrue(version(1) <= version(1) < version(1, 1))
+            self.assertTrue(version(3) > version(2, 9) >= version(2, 9))
+            self.assertRaises(TypeError, operator.lt, version(1), 2)
+
     def test_fields_have_the_given_or_default_values(self) -> None:
         for namespace in self.namespaces:
             point = namespace["Point"](1)
--- a/godwitturn/tests/test_document_exchange.py
+++ b/godwitturn/tests/test_document_exchange.py
@@ -6,6 +6,11 @@
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import pacing
+from godwitturn.core.transparent import store_position
+
+
+def at(revision: int, *, era: int = 0) -> store_position.StorePosition:
+    return store_position.StorePosition(era, revision)
 
 
 class TestDocumentFetcher(unittest.TestCase):
@@ -13,47 +18,47 @@
 
     def test_nothing_is_fetched_if_the_store_delivers_in_time(self) -> None:
         fetcher = document_exchange.DocumentFetcher("a")
-        fetcher.set_revision(5)
-        fetcher.note_revision("b", 7, now=0.0)
+        fetcher.set_position(at(5))
+        fetcher.note_position("b", at(7), now=0.0)
         self.assertIsNone(fetcher.next_source(now=0.4))
-        fetcher.set_revision(7)
+        fetcher.set_position(at(7))
         self.assertIsNone(fetcher.next_source(now=2.0))
 
     def test_newest_copy_is_fetched_if_the_store_stays_behind(self) -> None:
         fetcher = document_exchange.DocumentFetcher("a")
-        fetcher.set_revision(5)
-        fetcher.note_revision("b", 7, now=0.0)
-        fetcher.note_revision("c", 6, now=0.1)
+        fetcher.set_position(at(5))
+        fetcher.note_position("b", at(7), now=0.0)
+        fetcher.note_position("c", at(6), now=0.1)
         self.assertEqual("b", fetcher.next_source(now=0.6))
 
     def test_first_copy_is_fetched_sooner(self) -> None:
         fetcher = document_exchange.DocumentFetcher("a")
-        fetcher.note_revision("b", 7, now=0.0)
+        fetcher.note_position("b", at(7), now=0.0)
         self.assertEqual("b", fetcher.next_source(now=0.1))
 
     def test_another_source_is_used_if_one_does_not_reply(self) -> None:
         fetcher = document_exchange.DocumentFetcher("a")
-        fetcher.note_revision("b", 7, now=0.0)
+        fetcher.note_position("b", at(7), now=0.0)
         self.assertEqual("b", fetcher.next_source(now=0.2))
         self.assertIsNone(fetcher.next_source(now=0.3))
-        fetcher.note_revision("c", 7, now=0.4)
+        fetcher.note_position("c", at(7), now=0.4)
         self.assertEqual("c", fetcher.next_source(now=1.3))
 
     def test_failed_calls_to_the_store_do_not_delay_the_fetch(self) -> None:
         """A mirror reports its unchanged revision after each call."""
         fetcher = document_exchange.DocumentFetcher("a")
-        fetcher.set_revision(5)
-        fetcher.note_revision("b", 7, now=0.0)
-        fetcher.set_revision(5)
+        fetcher.set_position(at(5))
+        fetcher.note_position("b", at(7), now=0.0)
+        fetcher.set_position(at(5))
         self.assertEqual("b", fetcher.next_source(now=0.6))
-        fetcher.set_revision(5)
-        fetcher.note_revision("c", 7, now=1.0)
+        fetcher.set_position(at(5))
+        fetcher.note_position("c", at(7), now=1.0)
         self.assertEqual("c", fetcher.next_source(now=1.6))
 
     def test_copy_of_the_same_revision_is_not_fetched(self) -> None:
         fetcher = document_exchange.DocumentFetcher("a")
-        fetcher.set_revision(5)
-        fetcher.note_revision("b", 5, now=0.0)
+        fetcher.set_position(at(5))
+        fetcher.note_position("b", at(5), now=0.0)
         self.assertIsNone(fetcher.next_source(now=9.0))
 
 
@@ -69,10 +74,10 @@
         requests = []
         for number in range(fetchers):
             fetcher = document_exchange.DocumentFetcher(
-                f"side-{number}", revision=5, spread_s=spread_s
+                f"side-{number}", position=at(5), spread_s=spread_s
             )
             for source in self.SOURCES:
-                fetcher.note_revision(source, 7, now=0.0)
+                fetcher.note_position(source, at(7), now=0.0)
             for tenth in range(600):
                 source_now = fetcher.next_source(now=tenth / 10)
                 if source_now is not None:
@@ -109,28 +114,29 @@
                     mirror.Item("op/b", b"1", 4),
                 ),
                 False,
-                5,
-            )
+                at(5),
+            ),
+            now=0.0,
         )
         changes = documents_mirror.adopt(
-            document_exchange.Documents(9, {"op/a": b"2"})
+            document_exchange.Documents(at(9), {"op/a": b"2"})
         )
         self.assertEqual(
             {"op/a": b"2", "op/b": None},
             {item.key: item.value for item in changes},
         )
         self.assertEqual(
-            document_exchange.Documents(9, {"op/a": b"2"}),
+            document_exchange.Documents(at(9), {"op/a": b"2"}),
             documents_mirror.documents(),
         )
 
     def test_older_copy_is_ignored(self) -> None:
         documents_mirror = mirror.Mirror("op/", 4.0)
         documents_mirror.handle_result(
-            mirror.Page((mirror.Item("op/a", b"1", 3),), False, 5)
+            mirror.Page((mirror.Item("op/a", b"1", 3),), False, at(5)), now=0.0
         )
         self.assertEqual(
-            [], documents_mirror.adopt(document_exchange.Documents(5, {}))
+            [], documents_mirror.adopt(document_exchange.Documents(at(5), {}))
         )
         self.assertEqual(
             {"op/a": b"1"}, documents_mirror.documents().value_by_key
@@ -139,11 +145,11 @@
     def test_changes_of_other_keys_do_not_make_the_copy_newer(self) -> None:
         documents_mirror = mirror.Mirror("op/", 4.0)
         documents_mirror.handle_result(
-            mirror.Page((mirror.Item("op/a", b"1", 3),), False, 5)
+            mirror.Page((mirror.Item("op/a", b"1", 3),), False, at(5)), now=0.0
         )
-        documents_mirror.handle_result(mirror.Changes((), 90))
-        self.assertEqual(3, documents_mirror.documents().revision)
+        documents_mirror.handle_result(mirror.Changes((), at(90)), now=0.0)
+        self.assertEqual(3, documents_mirror.documents().position.revision)
         documents_mirror.handle_result(
-            mirror.Changes((mirror.Item("op/a", None, 93),), 95)
+            mirror.Changes((mirror.Item("op/a", None, 93),), at(95)), now=0.0
         )
-        self.assertEqual(93, documents_mirror.documents().revision)
+        self.assertEqual(93, documents_mirror.documents().position.revision)
--- a/godwitturn/tests/test_flow_record.py
+++ b/godwitturn/tests/test_flow_record.py
@@ -7,6 +7,7 @@
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import target_watch
 from godwitturn.protocol import flow_record as codec
 from godwitturn.standins import transparent_simulation
@@ -51,18 +52,24 @@
         self.data_centre = "north"
 
     def next_record(
-        self, now: float, *, agents: int = 1, born: int = 1000
+        self,
+        now: float,
+        *,
+        lease: int = 7,
+        agents: int = 1,
+        born: int = 1000,
     ) -> flow_record.FlowRecord | None:
         """Returns the record that is due, and marks it as written."""
         record = self.recorder.next_record(
             heartbeat(born=born),
             self.flow_by_id,
             lambda flow: self.data_centre,
+            lease=lease,
             agents=agents,
             now=now,
         )
         if record is not None:
-            self.recorder.note_written(record)
+            self.recorder.note_written(record, lease=lease)
         return record
 
 
@@ -91,6 +98,14 @@
         self.assertIsNotNone(self.next_record(10.0))
         self.assertIsNone(self.next_record(20.0))
 
+    # Guards against a record that is lost with its lease and not written
+    # again until the flows change.
+    def test_record_is_written_again_under_a_new_lease(self) -> None:
+        self.flow_by_id[LONG_FLOW] = flow(0.0)
+        self.assertIsNotNone(self.next_record(10.0))
+        self.assertIsNone(self.next_record(20.0))
+        self.assertIsNotNone(self.next_record(30.0, lease=8))
+
     def test_records_are_written_at_the_minimum_interval(self) -> None:
         self.flow_by_id[LONG_FLOW] = flow(0.0)
         self.assertIsNotNone(self.next_record(10.0))
@@ -230,7 +245,15 @@
     def hello(self, balancer: str, data_centre: str) -> list[messages.Action]:
         return self.agent.handle_hello(
             balancer,
-            messages.Hello(1, False, 0.0, True, data_centre, 1, True),
+            messages.Hello(
+                store_position.StorePosition(0, 1),
+                False,
+                0.0,
+                True,
+                data_centre,
+                1,
+                True,
+            ),
             now=1.0,
         )
 
--- a/godwitturn/tests/test_graceful_stop.py
+++ b/godwitturn/tests/test_graceful_stop.py
@@ -5,6 +5,7 @@
 from godwitturn.core.transparent import graceful_stop
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
+from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import targets
 
 
@@ -41,7 +42,7 @@
         self, address: str, *, ready: bool, now: float = 0.0
     ) -> None:
         """Applies a status of a balancer in data centre a."""
-        status = messages.PeerStatus(0, (), "a", ready, ())
+        status = messages.PeerStatus(store_position.UNREAD, (), "a", ready, ())
         self.peers.handle_status(address, status, now=now)
 
     def test_half_includes_the_balancer_itself(self) -> None:
@@ -66,7 +67,9 @@
             ("b4", "d", ()),
         ):
             agents = () if address == "b5" else ("agent",)
-            status = messages.PeerStatus(0, agents, data_centre, True, silent)
+            status = messages.PeerStatus(
+                store_position.UNREAD, agents, data_centre, True, silent
+            )
             self.peers.handle_status(address, status, now=0.0)
         excluded = frozenset({"a", "b"})
 
@@ -86,7 +89,7 @@
         self.peers.add("b1", now=0.0)
         self.peers.statuses(
             targets.TargetTable(),
-            revision=0,
+            position=store_position.UNREAD,
             data_centre="a",
             ready=True,
             now=6.0,
--- a/godwitturn/tests/test_platform_programs.py
+++ b/godwitturn/tests/test_platform_programs.py
@@ -22,6 +22,7 @@
 from godwitturn.platform import packets
 from godwitturn.standins import platform_messages
 from godwitturn.standins import platform_store
+from godwitturn.standins import platform_store_model
 from godwitturn.standins import transparent_simulation
 
 TIMEOUT_S = 15.0
@@ -187,6 +188,21 @@
         """Returns whether a program has logged an event."""
         return any(event["event"] == name for event in self.events(role))
 
+    def assert_version(self, version: int, within_s: float) -> None:
+        """Checks that the balancer applies a version within a time."""
+        deadline = time.monotonic() + within_s
+
+        def applied() -> bool:
+            return any(
+                event["event"] == "configuration_applied"
+                and event["version"] == version
+                for event in self.events("balancer")
+            )
+
+        while not applied() and time.monotonic() < deadline:
+            time.sleep(0.05)
+        self.assertTrue(applied(), self.events("balancer")[-5:])
+
     def get(self, address: str, port: int, path: str) -> tuple[int, str]:
         """Sends a GET request; returns status and body, 0 if it fails."""
         connection = http.client.HTTPConnection(address, port, timeout=2.0)
@@ -387,21 +403,6 @@
 class TestLargeDocuments(ProgramCase):
     """A configuration of 1,500 routes must come into force in time."""
 
-    def assert_version(self, version: int, within_s: float) -> None:
-        """Checks that the balancer applies a version within a time."""
-        deadline = time.monotonic() + within_s
-
-        def applied() -> bool:
-            return any(
-                event["event"] == "configuration_applied"
-                and event["version"] == version
-                for event in self.events("balancer")
-            )
-
-        while not applied() and time.monotonic() < deadline:
-            time.sleep(0.05)
-        self.assertTrue(applied(), self.events("balancer")[-5:])
-
     # Guards against limits on the duration of a transfer, after which a
     # balancer on a slow link never got a large configuration.
     def test_balancer_on_a_slow_link_starts_with_a_large_configuration(
@@ -427,6 +428,67 @@
         self.assert_version(29, within_s=CONFIGURATION_BOUND_S)
 
 
+class TestRestoredStore(ProgramCase):
+    """A store that was restored from a backup gives out revisions again."""
+
+    def restore_earlier_state(self) -> None:
+        """Applies versions 2 to 5, then restores the store with version 1."""
+        self.start_both()
+        self.send_heartbeat()
+        backup = self.store.backup()
+        for version in range(2, 6):
+            self.configure(version)
+            self.assert_version(version, within_s=CONFIGURATION_BOUND_S)
+        self.store.restore(backup)
+
+    # Guards against a daemon that takes a restored store for one that lags
+    # behind, and ignores it until its revisions have caught up.
+    def test_version_written_after_a_restore_comes_into_force(self) -> None:
+        self.restore_earlier_state()
+        self.configure(6)
+        self.assert_version(6, within_s=CONFIGURATION_BOUND_S)
+
+    # Guards against a watch that continues from a revision which the restored
+    # store has given to another change.
+    def test_version_of_a_revision_given_out_again_comes_into_force(
+        self,
+    ) -> None:
+        self.restore_earlier_state()
+        self.store.is_unavailable = True
+        self.configure(6)
+        for number in range(20):
+            self.store.put(f"other/{number}", b"")
+        self.store.is_unavailable = False
+        self.assert_version(6, within_s=CONFIGURATION_BOUND_S)
+
+    # Guards against an agent that renews the id of a lost lease, which the
+    # restored store has given to another daemon.
+    def test_entry_and_flow_record_are_written_again(self) -> None:
+        backup = self.store.backup()
+        self.start_both()
+        self.send_heartbeat()
+        self.open_flow()
+        self.exchange(transparent_simulation.ACK, b"request")
+        keys = (
+            documents.AGENT_PREFIX + self.agent_address,
+            documents.FLOW_RECORD_PREFIX + self.agent_address,
+        )
+
+        def written() -> bool:
+            return all(key in self.store.item_by_key for key in keys)
+
+        self.assertTrue(wait_until(written))
+        self.store.restore(backup)
+        self.assertFalse(written())
+        _, answer = self.store.grant({"ttl_ms": 10000})
+        self.assertEqual(platform_store_model.FIRST_LEASE_ID, answer["lease"])
+        self.assertTrue(wait_until(written))
+        self.assertNotIn(
+            answer["lease"],
+            [self.store.item_by_key[key]["lease"] for key in keys],
+        )
+
+
 class TestPages(ProgramCase):
     """Pages must show the current state; SIGHUP must reload settings."""
 
--- a/godwitturn/tests/test_platform_store.py
+++ b/godwitturn/tests/test_platform_store.py
@@ -8,10 +8,12 @@
 
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
+from godwitturn.core.transparent import store_position
 from godwitturn.daemons import http_client
 from godwitturn.daemons import http_server
 from godwitturn.daemons import reactor
 from godwitturn.platform import store
+from godwitturn.standins import platform_store
 
 TIMEOUT_S = 10.0
 
@@ -39,7 +41,7 @@
             return status, document
         return status, json.dumps(document).encode()
 
-    def call(self, start: Callable[[Callable[[Any], None]], None]) -> Any:
+    def call(self, start: Callable[[Callable[..., None]], None]) -> Any:
         """Starts a call and returns its result.
 
         Args:
@@ -47,7 +49,7 @@
         """
         results: list[Any] = []
 
-        def done(result: Any) -> None:
+        def done(result: Any, *_: int) -> None:
             results.append(result)
             self.loop.stopped = True
 
@@ -78,7 +80,11 @@
         result = self.call(
             lambda done: self.store.read(mirror.ReadPage("op/", "a&b"), done)
         )
-        page = mirror.Page((mirror.Item("op/a b", b"\x00x", 4),), True, 9)
+        page = mirror.Page(
+            (mirror.Item("op/a b", b"\x00x", 4),),
+            True,
+            store_position.StorePosition(0, 9),
+        )
         self.assertEqual(page, result)
         self.assertEqual(
             "/kv-range?prefix=op/&after=a%26b", self.requests[0][1]
@@ -92,7 +98,9 @@
                 mirror.Watch("op/", 4, 2.0, 9999), done
             )
         )
-        changes = mirror.Changes((mirror.Item("op/a", None, 5),), 5)
+        changes = mirror.Changes(
+            (mirror.Item("op/a", None, 5),), store_position.StorePosition(0, 5)
+        )
         self.assertEqual(changes, result)
         self.assertIn("wait_ms=2000", self.requests[0][1])
 
@@ -122,6 +130,57 @@
         self.assertEqual(mirror.Failure.UNREACHABLE, result)
 
 
+class TestEra(unittest.TestCase):
+    """Answers must tell how often the store was restored."""
+
+    def setUp(self) -> None:
+        self.loop = reactor.Reactor()
+        self.server = platform_store.PlatformStore(("127.0.0.1", 0))
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        host, port = self.server.server_address[:2]
+        self.client = http_client.HttpClient(self.loop, (str(host), port))
+        self.addCleanup(self.client.close)
+        self.store = store.Store(self.client)
+
+    def complete(self, call: mirror.ReadPage | registration.Call) -> Any:
+        """Returns what the callback of a call receives."""
+        results: list[Any] = []
+
+        def done(*result: Any) -> None:
+            results.extend(result)
+            self.loop.stopped = True
+
+        self.loop.stopped = False
+        if isinstance(call, mirror.ReadPage):
+            self.store.read(call, done)
+        else:
+            self.store.write(call, done)
+        self.loop.run()
+        return results
+
+    def test_era_of_reads_and_writes_grows_with_each_restore(self) -> None:
+        for era in (0, 1, 2):
+            with self.subTest(era=era):
+                page = self.complete(mirror.ReadPage("op/", ""))[0]
+                self.assertEqual(era, page.position.era)
+                result = self.complete(registration.GrantLease(10.0))
+                self.assertEqual(era, result[1])
+                # A lease that does not exist
+                result = self.complete(registration.KeepLease(5))
+                self.assertEqual(
+                    [registration.Outcome.LEASE_GONE, era], result
+                )
+                self.server.restore(self.server.backup())
+
+    def test_missing_answer_is_of_no_era(self) -> None:
+        self.server.restore(self.server.backup())
+        self.complete(mirror.ReadPage("op/", ""))
+        self.server.late_write_s = 0.0
+        result = self.complete(registration.PutEntry("k", b"v", 1))
+        self.assertEqual([registration.Outcome.FAILED, 0], result)
+
+
 class TestWrites(StoreCase):
     """A write must be sent as documented, and its outcome be reported."""
 
--- a/godwitturn/tests/test_registration.py
+++ b/godwitturn/tests/test_registration.py
@@ -20,14 +20,40 @@
         result: registration.Granted | registration.Outcome,
         *,
         now: float,
+        era: int = 0,
     ) -> registration.Call:
         """Passes a result for the call that is due, and returns the call."""
         call = self.entry.next_call(now=now)
         assert call is not None
-        self.entry.handle_result(call, result, now=now, jitter=1.0)
+        self.entry.handle_result(call, result, era=era, now=now, jitter=1.0)
         return call
 
 
+class TestRestore(RegistrationCase):
+    """A restored store has lost leases, and gives out their ids again."""
+
+    # Guards against a renewal under the id of a lost lease, which the
+    # restored store has given to another daemon.
+    def test_lease_of_an_earlier_era_counts_as_lost(self) -> None:
+        now = registration.RENEWAL_S
+        call = self.complete_call(Outcome.DONE, now=now, era=1)
+        self.assertEqual(registration.KeepLease(7), call)
+        call = self.complete_call(registration.Granted(7), now=now, era=1)
+        self.assertIsInstance(call, registration.GrantLease)
+        call = self.complete_call(Outcome.DONE, now=now, era=1)
+        self.assertEqual(registration.PutEntry("agents/a", b"value", 7), call)
+        self.assertTrue(self.entry.written)
+
+    def test_late_answer_of_an_earlier_era_changes_nothing(self) -> None:
+        now = registration.RENEWAL_S
+        self.complete_call(Outcome.DONE, now=now, era=1)
+        self.complete_call(registration.Granted(8), now=now, era=0)
+        self.assertEqual(0, self.entry.lease)
+        self.assertIsInstance(
+            self.entry.next_call(now=now + 1.0), registration.GrantLease
+        )
+
+
 class TestLease(RegistrationCase):
     """Grant, renewal and loss of the lease."""
 
--- a/godwitturn/tests/test_transparent_balancer.py
+++ b/godwitturn/tests/test_transparent_balancer.py
@@ -7,6 +7,7 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import segments
+from godwitturn.core.transparent import store_position
 from godwitturn.standins import transparent_simulation
 
 AGENTS = ("10.0.0.1", "10.0.0.2")
@@ -35,7 +36,8 @@
             fetcher=document_exchange.DocumentFetcher("balancer-1"),
         )
         self.balancer.configure(
-            transparent_simulation.configuration(), revision=1
+            transparent_simulation.configuration(),
+            position=store_position.StorePosition(0, 1),
         )
         for agent in AGENTS:
             self.announce(agent, now=10.0)
@@ -57,7 +59,7 @@
             work=0,
             cold_ms=0,
             balancers=(),
-            revision=1,
+            position=store_position.StorePosition(0, 1),
         )
         self.balancer.handle_message(agent, announcement, now=now)
 
--- a/godwitturn/tests/test_transparent_messages.py
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -6,8 +6,10 @@
 from hypothesis import strategies
 
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import store_position
 from godwitturn.protocol import transparent
 
+POSITION = store_position.StorePosition(2, 12)
 EXAMPLES: tuple[messages.Message, ...] = (
     messages.Forward("core", True, b"\x00packet"),
     messages.Forward("", False, b""),
@@ -30,12 +32,12 @@
         work=2,
         cold_ms=0,
         balancers=("10.0.0.1", "10.0.0.2"),
-        revision=7,
+        position=POSITION,
         failing=True,
     ),
-    messages.Hello(12, True, 1.5, False, "a", 9, True),
+    messages.Hello(POSITION, True, 1.5, False, "a", 9, True),
     messages.FlowsListed(((1, 2, 3, 4), (5, 6, 7, 8))),
-    messages.PeerStatus(12, ("10.1.0.1",), "a", True, ("10.1.0.2",)),
+    messages.PeerStatus(POSITION, ("10.1.0.1",), "a", True, ("10.1.0.2",)),
     messages.Relayed("10.1.0.1", messages.Forward("core", False, b"packet")),
 )
 
--- a/godwitturn/tests/test_transparent_targets.py
+++ b/godwitturn/tests/test_transparent_targets.py
@@ -5,6 +5,7 @@
 import unittest
 
 from godwitturn.core.transparent import messages
+from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import targets
 
 READY = messages.TargetState.READY
@@ -37,7 +38,7 @@
         work=0,
         cold_ms=cold_ms,
         balancers=(),
-        revision=0,
+        position=store_position.UNREAD,
         failing=failing,
     )
 
