Skip changes that an adopted copy already contains

A mirror that adopted another daemon's copy while its watch was answered applied changes older than that copy. A key that had been deleted in between came back and stayed, for example the evacuation of a data centre. Changes up to the mirror's position are skipped now, as it contains them.

The new test fails on the code before.

--- a/godwitturn/core/transparent/mirror.py
+++ b/godwitturn/core/transparent/mirror.py
@@ -353,7 +353,12 @@
         applied = []
         for item in changes.items:
             current = self.item_by_key.get(item.key)
-            if current is not None and current.revision >= item.revision:
+            # The mirror contains all changes up to its position, deletions
+            # included; after a read of several pages, also later ones.
+            known = max(
+                self.position.revision, current.revision if current else 0
+            )
+            if item.revision <= known:
                 continue
             if item.value is None:
                 if current is None:
--- a/godwitturn/tests/test_mirror.py
+++ b/godwitturn/tests/test_mirror.py
@@ -135,6 +135,23 @@
         self.assertEqual(2, len(self.mirror.item_by_key))
 
 
+class TestAdoption(MirrorCase):
+    """Copies of other daemons beside results of the store."""
+
+    # Guards against a key that comes back with a late answer to a watch,
+    # although the adopted copy contains its deletion.
+    def test_late_changes_do_not_bring_back_a_deleted_key(self) -> None:
+        self.mirror.next_call(now=0.0)
+        self.mirror.adopt(
+            document_exchange.Documents(at(20), {"op/a": b"v", "op/b": b"v"})
+        )
+        changes = self.mirror.handle_result(
+            mirror.Changes((item("op/c", 15),), at(16)), now=0.0
+        )
+        self.assertEqual([], changes)
+        self.assertEqual(at(20), self.mirror.position)
+
+
 class TestRestore(MirrorCase):
     """A restored store gives out revisions again, in a new era."""
 
