Refuse odd values of other writers instead of ending

An entry that is nested very deeply, or a number too large, in what daemons read ended the process: RecursionError and OverflowError left the decoders, and values out of range failed later, in calculations or on their way to sockets. A balancer that reads such an entry ends again after each restart. The token protocol had two of the same kind: a nested value in the store, and a target's answer to a health check.

All JSON of other processes goes through protocol/json_values, which raises nothing but MalformedError: finite numbers in range, names that can be sent, addresses in their usual form, ports up to 65,535. The daemon logs the odd document, skips it, and follows the others.

--- a/godwitturn/daemons/target_client.py
+++ b/godwitturn/daemons/target_client.py
@@ -1,7 +1,6 @@
 """HTTP client of an agent for its target."""
 
 from collections.abc import Callable
-import json
 
 import httpx
 import trio
@@ -115,7 +114,7 @@
         try:
             response = await self._client.get("/health")
             health = response.json()
-        except (httpx.HTTPError, json.JSONDecodeError):
+        except (httpx.HTTPError, ValueError, RecursionError):
             return actions.HealthCheckCompleted(False)
         if not isinstance(health, dict):
             return actions.HealthCheckCompleted(False)
--- a/godwitturn/etcd/operations.py
+++ b/godwitturn/etcd/operations.py
@@ -49,7 +49,7 @@
     """Returns a document from msgpack, or None if it is not one."""
     try:
         return msgspec.msgpack.decode(value, type=StoredDocument)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
 
 
--- a/godwitturn/platform/documents.py
+++ b/godwitturn/platform/documents.py
@@ -9,6 +9,7 @@
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import store_position
+from godwitturn.protocol import json_values
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
@@ -20,9 +21,7 @@
 _DRAINING = "draining"
 _DEFAULT_IDLE_TIMEOUT_MS = 15000
 
-
-class MalformedError(ValueError):
-    """A document can't be decoded."""
+MalformedError = json_values.MalformedError
 
 
 def decode_configuration(data: bytes) -> routes.Configuration:
@@ -31,8 +30,8 @@
     Raises:
         MalformedError: If it can't be decoded.
     """
+    document = json_values.load(data)
     try:
-        document = json.loads(data)
         services = [_decode_service(row) for row in document["services"]]
         route_by_endpoint = dict(
             _decode_route(row) for row in document["routes"] if row.get("host")
@@ -41,37 +40,48 @@
             "idle_timeout_ms", _DEFAULT_IDLE_TIMEOUT_MS
         )
         return routes.Configuration(
-            version=int(document["version"]),
+            version=json_values.integer(document["version"], "version"),
             route_by_endpoint=route_by_endpoint,
             service_by_name={service.name: service for service in services},
-            idle_timeout_s=float(idle_ms) / 1000,
+            idle_timeout_s=json_values.number(idle_ms, "idle_timeout_ms")
+            / 1000,
         )
-    except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
+    except MalformedError:
+        raise
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
         raise MalformedError(f"configuration: {exc!r}") from exc
 
 
 def _decode_service(row: dict[str, Any]) -> routes.Service:
     return routes.Service(
-        name=str(row["name"]),
-        max_flows=int(row["max_conns"]),
-        cold_per_second=float(row.get("cold_per_s", 0.0)),
+        name=json_values.text(row["name"], "name"),
+        max_flows=int(json_values.number(row["max_conns"], "max_conns")),
+        cold_per_second=json_values.number(
+            row.get("cold_per_s", 0.0), "cold_per_s"
+        ),
     )
 
 
 def _decode_route(row: dict[str, Any]) -> tuple[routes.Endpoint, routes.Route]:
     # `host` is an IP address, and `prefix` is a port number between slashes.
-    endpoint = (
-        int.from_bytes(socket.inet_aton(row["host"]), "big"),
-        int(row["prefix"].strip("/")),
+    host = json_values.address(row["host"], "host")
+    port = json_values.integer(
+        int(row["prefix"].strip("/")), "prefix", maximum=json_values.MAX_PORT
     )
+    endpoint = (int.from_bytes(socket.inet_aton(host), "big"), port)
     split = row.get("traffic_split") or [
         {"service": row["service"], "weight": 1}
     ]
     shares = tuple(
-        routes.Share(str(part["service"]), int(part["weight"]))
+        routes.Share(
+            json_values.text(part["service"], "service"),
+            int(json_values.number(part["weight"], "weight")),
+        )
         for part in split
     )
-    return endpoint, routes.Route(str(row["name"]), shares)
+    return endpoint, routes.Route(
+        json_values.text(row["name"], "name"), shares
+    )
 
 
 def decode_heartbeat(target_id: str, data: bytes) -> heartbeats.Heartbeat:
@@ -80,8 +90,8 @@
     Raises:
         MalformedError: If it can't be decoded, or its state is unknown.
     """
+    document = json_values.load(data)
     try:
-        document = json.loads(data)
         state = document["state"]
         if state not in (_READY, _DRAINING):
             raise MalformedError(
@@ -89,32 +99,24 @@
                 f"allowed: {_READY!r}, {_DRAINING!r}"
             )
         return heartbeats.Heartbeat(
-            target_id=target_id,
+            target_id=json_values.text(target_id, "id"),
             born=_get_integer(document, "born", 0),
             sequence=_get_integer(document, "sequence"),
-            service=_get_text(document, "service"),
+            service=json_values.text(document["service"], "service"),
             draining=state == _DRAINING,
             slots=_get_integer(document, "slots"),
             cold_ms=_get_integer(document, "cold_remaining_ms", 0),
         )
-    except (ValueError, TypeError, KeyError) as exc:
+    except MalformedError:
+        raise
+    except (TypeError, KeyError, AttributeError) as exc:
         raise MalformedError(f"heartbeat: {exc!r}") from exc
 
 
 def _get_integer(
     document: dict[str, Any], name: str, default: int | None = None
 ) -> int:
-    value = document.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise MalformedError(f"{name} is {value!r}; expected a whole number")
-    return value
-
-
-def _get_text(document: dict[str, Any], name: str) -> str:
-    value = document[name]
-    if not isinstance(value, str):
-        raise MalformedError(f"{name} is {value!r}; expected a string")
-    return value
+    return json_values.integer(document.get(name, default), name)
 
 
 def encode_documents(copy: document_exchange.Documents) -> bytes:
@@ -133,15 +135,21 @@
     Raises:
         MalformedError: If it can't be decoded.
     """
+    content = json_values.load(data)
     try:
-        (era, revision), values = json.loads(data)
+        (era, revision), values = content
         return document_exchange.Documents(
-            store_position.StorePosition(int(era), int(revision)),
+            store_position.StorePosition(
+                json_values.integer(era, "era"),
+                json_values.integer(revision, "revision"),
+            ),
             {
-                str(key): base64.b64decode(value)
+                json_values.text(key, "key"): base64.b64decode(value)
                 for key, value in values.items()
             },
         )
+    except MalformedError:
+        raise
     except (ValueError, TypeError, AttributeError) as exc:
         raise MalformedError(f"copy of documents: {exc!r}") from exc
 
@@ -157,12 +165,16 @@
     Raises:
         MalformedError: If it can't be decoded.
     """
+    entry = json_values.load(data)
     try:
-        address, service, data_centre = json.loads(data)
-        socket.inet_aton(address)
-    except (ValueError, TypeError, OSError) as exc:
+        address, service, data_centre = entry
+    except (ValueError, TypeError) as exc:
         raise MalformedError(f"agent entry: {exc!r}") from exc
-    return address, str(service), str(data_centre)
+    return (
+        json_values.address(address, "address"),
+        json_values.text(service, "service"),
+        json_values.text(data_centre, "data centre"),
+    )
 
 
 def evacuated_data_centre(key: str) -> str | None:
--- a/godwitturn/platform/store.py
+++ b/godwitturn/platform/store.py
@@ -15,6 +15,7 @@
 from godwitturn.daemons import http_client
 from godwitturn.daemons import reactor
 from godwitturn.platform import documents
+from godwitturn.protocol import json_values
 
 # Time within which an answer begins. That takes milliseconds, or up to 0.25 s
 # if the store is slow.
@@ -144,23 +145,25 @@
     if status != _OK:
         return mirror.Failure.REFUSED
     try:
-        answer = json.loads(body)
-        position = store_position.StorePosition(era, int(answer["at"]))
+        answer = json_values.load(body)
+        revision = json_values.integer(answer["at"], "at")
+        position = store_position.StorePosition(era, revision)
         if isinstance(call, mirror.Watch):
             items = tuple(decode_item(row) for row in answer["events"])
             return mirror.Changes(items, position)
         items = tuple(decode_item(row) for row in answer["items"])
         return mirror.Page(items, bool(answer["has_more"]), position)
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, KeyError, AttributeError):
         return mirror.Failure.MALFORMED
 
 
 def decode_item(row: dict[str, Any]) -> mirror.Item:
     """Decodes an item or an event of an answer."""
+    key = json_values.text(row["key"], "key")
+    revision = json_values.integer(row["revision"], "revision")
     if row.get("deleted"):
-        return mirror.Item(row["key"], None, int(row["revision"]))
-    value = base64.b64decode(row["value"])
-    return mirror.Item(row["key"], value, int(row["revision"]))
+        return mirror.Item(key, None, revision)
+    return mirror.Item(key, base64.b64decode(row["value"]), revision)
 
 
 def _encode_write(call: registration.Call) -> tuple[str, str, bytes]:
@@ -191,7 +194,8 @@
         return registration.Outcome.FAILED
     if isinstance(call, registration.GrantLease):
         try:
-            return registration.Granted(int(json.loads(body)["lease"]))
+            lease = json_values.load(body)["lease"]
+            return registration.Granted(json_values.integer(lease, "lease"))
         except (ValueError, TypeError, KeyError):
             return registration.Outcome.FAILED
     return registration.Outcome.DONE
--- a/godwitturn/protocol/flow_record.py
+++ b/godwitturn/protocol/flow_record.py
@@ -8,6 +8,7 @@
 import struct
 
 from godwitturn.core.transparent import flow_record
+from godwitturn.protocol import json_values
 
 _SEPARATOR = b"\n"
 # Client address and port, route address and port, acknowledged sequence
@@ -30,13 +31,14 @@
     """Returns the record in a stored value, None if it is malformed."""
     header, _, rows = data.partition(_SEPARATOR)
     try:
-        service, target_id, born, names = json.loads(header)
+        service, target_id, born, names = json_values.load(header)
+        names = [json_values.text(name, "data centre") for name in names]
         return flow_record.FlowRecord(
-            str(service),
-            str(target_id),
-            int(born),
+            json_values.text(service, "service"),
+            json_values.text(target_id, "id"),
+            json_values.integer(born, "born"),
             {
-                row[:4]: flow_record.RecordedFlow(row[4], str(names[row[5]]))
+                row[:4]: flow_record.RecordedFlow(row[4], names[row[5]])
                 for row in _ROW.iter_unpack(rows)
             },
         )
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -13,6 +13,7 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
 from godwitturn.core.transparent import store_position
+from godwitturn.protocol import json_values
 
 _KIND_FORWARD = 1
 _KIND_OPENING_REFUSED = 2
@@ -118,14 +119,24 @@
 
 def _decode_position(fields: Any) -> store_position.StorePosition:
     era, revision = fields
-    return store_position.StorePosition(int(era), int(revision))
+    return store_position.StorePosition(
+        json_values.integer(era, "era"),
+        json_values.integer(revision, "revision"),
+    )
 
 
 def decode(data: bytes) -> messages.Message | None:
     """Returns the message in a datagram, or None if it is malformed."""
     try:
         return _decode(data)
-    except (ValueError, TypeError, IndexError, OSError, struct.error):
+    except (
+        ValueError,
+        TypeError,
+        IndexError,
+        OSError,
+        RecursionError,
+        struct.error,
+    ):
         return None
 
 
@@ -153,19 +164,19 @@
         case 12:
             return messages.FlowUnknown(_decode_flow_id(data))
         case 5:
-            return _make_announcement(*json.loads(data[1:]))
+            return _make_announcement(*json_values.load(data[1:]))
         case 6:
-            return _make_hello(*json.loads(data[1:]))
+            return _make_hello(*json_values.load(data[1:]))
         case 7:
-            position, agents, data_centre, ready, silent_agents = json.loads(
-                data[1:]
+            position, agents, data_centre, ready, silent_agents = (
+                json_values.load(data[1:])
             )
             return messages.PeerStatus(
                 _decode_position(position),
-                _string_tuple(agents),
-                str(data_centre),
+                _address_tuple(agents),
+                json_values.text(data_centre, "data centre"),
                 bool(ready),
-                _string_tuple(silent_agents),
+                _address_tuple(silent_agents),
             )
         case 9:
             start = 1 + _ADDRESS_SIZE_BYTES
@@ -195,10 +206,10 @@
     return messages.Hello(
         position=_decode_position(position),
         evacuated=bool(evacuated),
-        cold_per_second=float(cold_per_second),
+        cold_per_second=json_values.number(cold_per_second, "cold limit"),
         registered=bool(registered),
-        data_centre=str(data_centre),
-        agents=int(agents),
+        data_centre=json_values.text(data_centre, "data centre"),
+        agents=json_values.integer(agents, "agents"),
         flows_requested=bool(flows_requested),
     )
 
@@ -220,22 +231,22 @@
     failing: Any = False,
 ) -> messages.Announcement:
     return messages.Announcement(
-        node=str(node),
-        service=str(service),
-        data_centre=str(data_centre),
-        run_id=int(run_id),
-        sequence=int(sequence),
+        node=json_values.text(node, "node"),
+        service=json_values.text(service, "service"),
+        data_centre=json_values.text(data_centre, "data centre"),
+        run_id=json_values.integer(run_id, "run id", maximum=1 << 64),
+        sequence=json_values.integer(sequence, "sequence"),
         incarnation=str(incarnation),
         state=messages.TargetState(state),
-        slots=int(slots),
-        flows=int(flows),
-        work=int(work),
-        cold_ms=int(cold_ms),
-        balancers=_string_tuple(balancers),
+        slots=json_values.integer(slots, "slots"),
+        flows=json_values.integer(flows, "flows"),
+        work=json_values.integer(work, "work"),
+        cold_ms=json_values.integer(cold_ms, "cold time"),
+        balancers=_address_tuple(balancers),
         position=_decode_position(position),
         failing=bool(failing),
     )
 
 
-def _string_tuple(values: Any) -> tuple[str, ...]:
-    return tuple(str(value) for value in values)
+def _address_tuple(values: Any) -> tuple[str, ...]:
+    return tuple(json_values.address(value, "address") for value in values)
--- a/godwitturn/tests/test_operations.py
+++ b/godwitturn/tests/test_operations.py
@@ -36,6 +36,11 @@
     def test_arbitrary_bytes_never_raise(self, data: bytes) -> None:
         operations.decode(data)
 
+    # Guards against a value that ends the daemon which reads it.
+    def test_deeply_nested_value_is_no_document(self) -> None:
+        nested = b"\x81\xa1z" + b"\x91" * 100_000
+        self.assertIsNone(operations.decode(nested))
+
     def test_keeps_the_newest_ids(self) -> None:
         document = operations.EMPTY
         for index in range(100):
--- a/godwitturn/tests/test_platform_documents.py
+++ b/godwitturn/tests/test_platform_documents.py
@@ -1,5 +1,7 @@
 """Tests of the codecs of operators', targets' and agents' documents."""
 
+from collections.abc import Callable
+import contextlib
 import json
 from typing import Any
 import unittest
@@ -7,7 +9,10 @@
 import hypothesis
 from hypothesis import strategies
 
+from godwitturn.core.transparent import document_exchange
+from godwitturn.core.transparent import store_position
 from godwitturn.platform import documents
+from godwitturn.protocol import flow_record as flow_records
 
 HEARTBEAT = {
     "service": "core",
@@ -20,7 +25,7 @@
     "sequence": 4,
     "born": 1779388260125,
 }
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     "version": 7,
     "routes": [
         {
@@ -129,3 +134,119 @@
     def test_only_evacuation_keys_name_a_data_centre(self) -> None:
         self.assertEqual("a", documents.evacuated_data_centre("op/evacuate/a"))
         self.assertIsNone(documents.evacuated_data_centre("op/config"))
+
+
+# Values that a faulty writer may leave in any field.
+ODD_VALUES = (
+    b"[" * 100_000,
+    b'{"a":' * 100_000,
+    b"1e999",
+    b"-1e999",
+    b"NaN",
+    b"9" * 400,
+    b"9" * 5000,
+    b"-1",
+    b"70000",
+    b"1.5",
+    b"true",
+    b"null",
+    b"[]",
+    b"{}",
+    b'"' + b"x" * 300 + b'"',
+    b'"\\ud800"',
+    b'"10.0.0.1:70000"',
+)
+
+
+class TestOddValues(unittest.TestCase):
+    """Whatever a field holds, decoding ends or reports malformed input."""
+
+    def assert_decoded_or_malformed(
+        self, decode: Callable[[bytes], object], document: object
+    ) -> None:
+        """Puts each odd value in place of each part of a document."""
+        text = json.dumps(document)
+        parts = {text, *_parts(document)}
+        for part in sorted(parts):
+            for odd in ODD_VALUES:
+                data = text.encode().replace(part.encode(), odd, 1)
+                with (
+                    self.subTest(part=part, odd=odd[:20]),
+                    contextlib.suppress(documents.MalformedError),
+                ):
+                    decode(data)
+
+    # Guards against an odd entry that ends the daemon which reads it.
+    def test_documents_with_odd_values_raise_only_malformed_error(
+        self,
+    ) -> None:
+        entry = documents.encode_agent_entry("10.1.0.12", "core", "a")
+        copy = document_exchange.Documents(
+            store_position.StorePosition(1, 2), {"op/config": b"x"}
+        )
+        cases: tuple[tuple[Callable[[bytes], object], object], ...] = (
+            (documents.decode_configuration, CONFIGURATION),
+            (
+                lambda data: documents.decode_heartbeat("i-1", data),
+                HEARTBEAT,
+            ),
+            (documents.decode_agent_entry, json.loads(entry)),
+            (
+                documents.decode_documents,
+                json.loads(documents.encode_documents(copy)),
+            ),
+            (
+                lambda data: flow_records.decode(data + b"\n"),
+                ["core", "i-1", 17, ["a"]],
+            ),
+        )
+        for decode, document in cases:
+            self.assert_decoded_or_malformed(decode, document)
+
+    # Guards against numbers that are decoded and fail in later calculations,
+    # and names that fail when they are sent to other daemons.
+    def test_decoded_entries_can_be_sent_on(self) -> None:
+        for field, odd in (
+            ("slots", 10**400),
+            ("born", 10**30),
+            ("cold_remaining_ms", -1),
+            ("service", "x" * 300),
+            ("service", "\ud800"),
+        ):
+            with (
+                self.subTest(field=field),
+                self.assertRaises(documents.MalformedError),
+            ):
+                data = json.dumps({**HEARTBEAT, field: odd}).encode()
+                documents.decode_heartbeat("i-1", data)
+        for address in ("10.1", "10.0.0.1:70000", "host", "1", ""):
+            with (
+                self.subTest(address=address),
+                self.assertRaises(documents.MalformedError),
+            ):
+                data = json.dumps([address, "core", "a"]).encode()
+                documents.decode_agent_entry(data)
+
+    def test_ports_out_of_range_are_refused(self) -> None:
+        for prefix in ("/70000/", "/-1/", "//", "/http/"):
+            with (
+                self.subTest(prefix=prefix),
+                self.assertRaises(documents.MalformedError),
+            ):
+                route = {**CONFIGURATION["routes"][0], "prefix": prefix}
+                data = json.dumps({**CONFIGURATION, "routes": [route]})
+                documents.decode_configuration(data.encode())
+
+
+def _parts(value: object) -> list[str]:
+    """Returns the JSON texts of all values that a document contains."""
+    if isinstance(value, dict):
+        children = list(value.values())
+    elif isinstance(value, list):
+        children = value
+    else:
+        children = []
+    parts = [json.dumps(child) for child in children]
+    for child in children:
+        parts += _parts(child)
+    return parts
--- a/godwitturn/tests/test_platform_programs.py
+++ b/godwitturn/tests/test_platform_programs.py
@@ -428,6 +428,51 @@
         self.assert_version(29, within_s=CONFIGURATION_BOUND_S)
 
 
+class TestOddEntries(ProgramCase):
+    """Entries of faulty writers must neither end daemons nor stop them."""
+
+    ODD = (b"[" * 100_000, b"[1e999]", b'["10.0.0.1:70000","core","a"]')
+
+    # Guards against an odd entry that ends each daemon which reads it, also
+    # after its restart.
+    def test_daemons_follow_the_store_beside_odd_entries(self) -> None:
+        balancer, agent = self.start_both()
+        for number, value in enumerate(self.ODD):
+            self.store.put(f"{documents.AGENT_PREFIX}10.0.0.{number}", value)
+            self.store.put(f"{documents.OPERATOR_PREFIX}odd{number}", value)
+        self.store.put(
+            documents.AGENT_PREFIX + "10.0.0.9",
+            documents.encode_agent_entry("10.0.0.9", SERVICE, "a"),
+        )
+
+        def registered() -> bool:
+            return any(
+                event["event"] == "agent_registered"
+                and event["agent"] == "10.0.0.9"
+                for event in self.events("balancer")
+            )
+
+        self.assertTrue(wait_until(registered))
+        self.configure(2)
+        self.assert_version(2, within_s=CONFIGURATION_BOUND_S)
+        self.assertIsNone(balancer.poll())
+        self.assertIsNone(agent.poll())
+
+    # Guards against an odd heartbeat that ends the agent.
+    def test_odd_heartbeats_are_refused(self) -> None:
+        _, agent = self.start_both()
+        for value in self.ODD:
+            connection = http.client.HTTPConnection(
+                self.agent_address, platform_messages.CONTROL_PORT, timeout=5.0
+            )
+            connection.request("PUT", "/instances/i-1", value[:70_000])
+            self.assertEqual(400, connection.getresponse().status)
+            connection.close()
+        self.assertEqual(400, self.send_heartbeat(slots=10**400))
+        self.assertEqual(200, self.send_heartbeat())
+        self.assertIsNone(agent.poll())
+
+
 class TestRestoredStore(ProgramCase):
     """A store that was restored from a backup gives out revisions again."""
 
--- a/godwitturn/tests/test_target_client.py
+++ b/godwitturn/tests/test_target_client.py
@@ -44,3 +44,37 @@
         (event,) = events
         assert isinstance(event, actions.TargetFailed)
         self.assertTrue(event.started)
+
+
+class TestHealth(unittest.TestCase):
+    """A target whose health answer can't be read."""
+
+    # Guards against an answer that ends the agent which reads it.
+    def test_unreadable_answers_count_as_unhealthy(self) -> None:
+        bodies = [b"[" * 100_000, b"\xff", b"9" * 5000, b"[]", b"{"]
+        unread = list(bodies)
+        events: list[actions.AgentEvent] = []
+
+        async def main() -> None:
+            with trio.fail_after(TIMEOUT_S):
+                async with trio.open_nursery() as nursery:
+
+                    def respond(_: httpx.Request) -> httpx.Response:
+                        if not unread:
+                            nursery.cancel_scope.cancel()
+                            return httpx.Response(200)
+                        return httpx.Response(200, content=unread.pop(0))
+
+                    client = target_client.TargetClient(
+                        url="http://target",
+                        receive=events.append,
+                        nursery=nursery,
+                        transport=httpx.MockTransport(respond),
+                    )
+                    await client.watch_health()
+
+        trio.run(main)
+        self.assertEqual(
+            [actions.HealthCheckCompleted(False)] * len(bodies),
+            events[: len(bodies)],
+        )
--- a/godwitturn/tests/test_transparent_messages.py
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -71,5 +72,28 @@
         transparent.decode(data[:at] + noise + data[at + len(noise) :])
         transparent.decode(data[:at])
 
+    # Guards against a datagram that ends the daemon which receives it.
+    def test_odd_values_are_malformed(self) -> None:
+        for kind in (5, 6, 7):
+            for body in (
+                b"[" * 1000,
+                b"[" * 100_000,
+                b"[1e999]",
+                b"[" + b"9" * 5000 + b"]",
+            ):
+                with self.subTest(kind=kind, body=body[:9]):
+                    self.assertIsNone(
+                        transparent.decode(bytes((kind,)) + body)
+                    )
+        for message, change in (
+            (EXAMPLES[8], {"slots": 10**400}),
+            (EXAMPLES[8], {"cold_ms": 10**400}),
+            (EXAMPLES[8], {"balancers": ("not..an.address",)}),
+            (EXAMPLES[8], {"service": "x" * 300}),
+        ):
+            with self.subTest(change=str(change)[:30]):
+                odd = attrs.evolve(message, **change)
+                self.assertIsNone(transparent.decode(transparent.encode(odd)))
+
     def test_empty_datagram_is_malformed(self) -> None:
         self.assertIsNone(transparent.decode(b""))
