Let the soak restore the store from a backup

Each soak now also checks at its end that every balancer has the newest version and closed data centres in force and that every agent's entry is in the store. Seeds without the option keep their faults.

--- a/godwitturn/soak/__main__.py
+++ b/godwitturn/soak/__main__.py
@@ -18,6 +18,7 @@
     *,
     seeds: list[int] | None = None,
     seconds: float = known_seeds.DURATION_S,
+    restores: bool = False,
     directory: pathlib.Path = pathlib.Path("soak"),
 ) -> int:
     """Runs a soak for each seed and writes its report.
@@ -26,6 +27,7 @@
         seeds: Seeds of faults and load; by default those that have failed
             before.
         seconds: Duration of the load of each soak.
+        restores: Whether the store is also restored from backups.
         directory: Where a directory is written for each seed, with logs, the
             table `report.txt` and the plot `report.svg`.
 
@@ -35,7 +37,9 @@
     status = 0
     for seed in seeds or known_seeds.CAUSE_BY_SEED:
         seed_directory = directory / str(seed)
-        history = run.soak(seed, seconds, logs=seed_directory)
+        history = run.soak(
+            seed, seconds, logs=seed_directory, restores=restores
+        )
         violations = checks.violations(history)
         (seed_directory / "report.txt").write_text(
             report.table(history, violations)
--- a/godwitturn/soak/checks.py
+++ b/godwitturn/soak/checks.py
@@ -87,6 +87,10 @@
         f"unexpected exit of a process: {process_exit}"
         for process_exit in history.unexpected_exits
     ]
+    lines += [
+        f"out of date at the end: {member}"
+        for member in history.outdated_members
+    ]
     served = _served_share(history)
     if served < MIN_SERVED_SHARE:
         lines.append(
--- a/godwitturn/soak/deployment.py
+++ b/godwitturn/soak/deployment.py
@@ -1,5 +1,6 @@
 """Processes and addresses of a soak."""
 
+import http.client
 import json
 import os
 import pathlib
@@ -11,6 +12,7 @@
 
 import attrs
 
+from godwitturn.daemons import metrics_page
 from godwitturn.daemons import reactor
 from godwitturn.platform import documents
 from godwitturn.soak import history as histories
@@ -103,7 +105,10 @@
         self._directory = directory
         self._version = INITIAL_VERSION
         self._has_spare_route = False
+        self._configuration = b""
+        self._closed: set[str] = set()
         self.configure()
+        self._backup = self.store.backup()
 
     @property
     def members(self) -> list[Member]:
@@ -134,18 +139,65 @@
             ],
             "limits": {"idle_timeout_ms": 15000},
         }
-        self.store.put(
-            documents.CONFIGURATION_KEY, json.dumps(document).encode()
-        )
+        self._configuration = json.dumps(document).encode()
+        self.store.put(documents.CONFIGURATION_KEY, self._configuration)
 
     def evacuate(self, data_centre: str, *, closed: bool) -> None:
         """Closes a data centre for new flows, or opens it again."""
         key = documents.EVACUATION_PREFIX + data_centre
         if closed:
+            self._closed.add(data_centre)
             self.store.put(key, b"{}")
         else:
+            self._closed.discard(data_centre)
             self.store.delete(key)
 
+    def back_up_store(self) -> None:
+        """Takes the backup that the store is restored from next."""
+        self._backup = self.store.backup()
+
+    def restore_store(self) -> None:
+        """Restores the store from its last backup."""
+        self.store.restore(self._backup)
+
+    def write_documents(self) -> None:
+        """Writes the operators' documents again, as after a restore."""
+        self.store.put(documents.CONFIGURATION_KEY, self._configuration)
+        for data_centre in DATA_CENTRES:
+            self.evacuate(data_centre, closed=data_centre in self._closed)
+
+    def outdated_members(self) -> list[str]:
+        """Returns a line for each balancer or entry that is out of date."""
+        lines = []
+        for balancer in self.balancers:
+            state = self._read_state(balancer)
+            expected = {
+                "version": self._version,
+                "closed_data_centres": sorted(self._closed),
+            }
+            found = {name: state.get(name) for name in expected}
+            if found != expected:
+                lines.append(f"{balancer.name}: {found}, not {expected}")
+        for agent in self.agents:
+            key = documents.AGENT_PREFIX + agent.address
+            if key not in self.store.item_by_key:
+                lines.append(f"{agent.name}: no entry in the store")
+        return lines
+
+    def _read_state(self, member: Member) -> dict[str, Any]:
+        """Returns the state page of a member, empty if it doesn't answer."""
+        connection = http.client.HTTPConnection(
+            member.address, metrics_page.PORT, timeout=KILL_TIMEOUT_S
+        )
+        try:
+            connection.request("GET", "/state")
+            state = json.loads(connection.getresponse().read())
+        except (OSError, ValueError):
+            return {}
+        finally:
+            connection.close()
+        return dict(state)
+
     def write_settings(self, member: Member, **changes: Any) -> None:
         """Writes the settings file of a member."""
         fields = platform_messages.settings(
--- a/godwitturn/soak/faults.py
+++ b/godwitturn/soak/faults.py
@@ -26,6 +26,10 @@
 # requests is checked. Current deployments serve a quarter of the requests
 # again after this time.
 RECOVERY_S = 12.0
+# Age of the backup from which the store is restored, in whole seconds.
+MAX_BACKUP_AGE_S = 10
+# Time after a restore at which operators write their documents again.
+REWRITE_DELAY_S = 0.5
 _MODE_BY_KIND = {
     Kind.STORE_SILENT: proxy.Mode.SILENT,
     Kind.STORE_ONE_WAY: proxy.Mode.ONE_WAY,
@@ -35,7 +39,7 @@
 
 
 def schedule(
-    generator: random.Random, seconds: float
+    generator: random.Random, seconds: float, *, restores: bool = False
 ) -> list[histories.Fault]:
     """Returns random faults, ordered by time.
 
@@ -43,18 +47,32 @@
         generator: Source of random choices.
         seconds: Duration of the load. No fault starts in the last
             `RECOVERY_S + checks.FAULT_FREE_S` seconds.
+        restores: Whether the store is also restored from backups, at least
+            once.
     """
     ends_at = seconds - RECOVERY_S - checks.FAULT_FREE_S
+    kinds = [kind for kind in Kind if kind not in histories.RESTORE_KINDS]
     faults = []
+    if restores:
+        at = generator.uniform(FIRST_FAULT_AT_S, ends_at)
+        kinds += histories.RESTORE_KINDS
+        faults.append(_restore(generator, at))
     at = FIRST_FAULT_AT_S
     while at < ends_at:
         duration_s = generator.uniform(MIN_DURATION_S, MAX_DURATION_S)
-        kind = generator.choice(list(Kind))
+        kind = generator.choice(kinds)
         faults.append(
             histories.Fault(at, kind, generator.randrange(1 << 16), duration_s)
         )
         at += generator.uniform(MIN_GAP_S, MAX_GAP_S)
-    return faults
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _restore(generator: random.Random, at: float) -> histories.Fault:
+    duration_s = generator.uniform(MIN_DURATION_S, MAX_DURATION_S)
+    return histories.Fault(
+        at, Kind.STORE_RESTORED, generator.randrange(1 << 16), duration_s
+    )
 
 
 class Injector:
@@ -75,10 +93,14 @@
 
     def schedule(self, faults: list[histories.Fault]) -> None:
         """Sets a timer for each fault."""
+        loop = self.system.loop
         for fault in faults:
-            self.system.loop.call_later(
-                fault.at, functools.partial(self.inject, fault)
-            )
+            loop.call_later(fault.at, functools.partial(self.inject, fault))
+            if fault.kind is Kind.STORE_RESTORED:
+                age_s = fault.selector % MAX_BACKUP_AGE_S
+                loop.call_later(
+                    max(0.0, fault.at - age_s), self.system.back_up_store
+                )
 
     def _call_at_end(
         self, fault: histories.Fault, callback: Callable[[], None]
@@ -110,6 +132,9 @@
                 system.write_settings(member, cold_slack=fault.selector % 9)
                 system.signal(member, signal.SIGHUP)
             case Kind.STORE_REFUSES:
+                system.store.is_unavailable = True
+                self._call_at_end(fault, self._end_refusal)
+            case Kind.STORE_RESTORED:
                 system.store.is_unavailable = True
                 self._call_at_end(fault, self._restore_store)
             case Kind.LEASES_LAPSE:
@@ -133,5 +158,11 @@
                     fault, lambda: system.proxy.set_mode(proxy.Mode.PASS)
                 )
 
-    def _restore_store(self) -> None:
+    def _end_refusal(self) -> None:
         self.system.store.is_unavailable = False
+
+    def _restore_store(self) -> None:
+        system = self.system
+        system.restore_store()
+        system.store.is_unavailable = False
+        system.loop.call_later(REWRITE_DELAY_S, system.write_documents)
--- a/godwitturn/soak/history.py
+++ b/godwitturn/soak/history.py
@@ -24,6 +24,7 @@
     TARGET_DRAIN = "target_drain"
     CONFIGURE = "configure"
     EVACUATE = "evacuate"
+    STORE_RESTORED = "store_restored"
 
 
 # Operations by operators; no guarantee is suspended during them.
@@ -38,6 +39,11 @@
 )
 
 
+# Kinds that only soaks with restores contain, so that the seeds of others
+# keep their faults.
+RESTORE_KINDS = frozenset({FaultKind.STORE_RESTORED})
+
+
 @attrs.define(frozen=True)
 class Fault:
     """A fault or planned operation.
@@ -179,6 +185,9 @@
         faults: Injected faults, in order.
         unexpected_exits: Name and status of each process that exited
             unexpectedly.
+        outdated_members: A line for each balancer whose configuration or
+            closed data centres, and each agent whose entry, was out of date
+            at the end.
     """
 
     seconds: float
@@ -187,3 +196,4 @@
     instance_by_name: dict[str, TargetInstance] = attrs.field(factory=dict)
     faults: list[Fault] = attrs.field(factory=list)
     unexpected_exits: list[str] = attrs.field(factory=list)
+    outdated_members: list[str] = attrs.field(factory=list)
--- a/godwitturn/soak/run.py
+++ b/godwitturn/soak/run.py
@@ -16,7 +16,11 @@
 
 
 def soak(
-    seed: int, seconds: float, *, logs: pathlib.Path | None = None
+    seed: int,
+    seconds: float,
+    *,
+    logs: pathlib.Path | None = None,
+    restores: bool = False,
 ) -> histories.History:
     """Runs a soak.
 
@@ -26,6 +30,7 @@
         seconds: Duration of the load.
         logs: Directory for logs and settings; if None, they are deleted at
             the end.
+        restores: Whether the store is also restored from backups.
 
     Returns:
         The injected faults and the events of clients and targets.
@@ -47,14 +52,18 @@
         )
         system = deployment.Deployment(loop, history, directory, subnet)
         try:
-            _run(system, subnet, generator)
+            _run(system, subnet, generator, restores=restores)
         finally:
             system.close()
     return history
 
 
 def _run(
-    system: deployment.Deployment, subnet: str, generator: random.Random
+    system: deployment.Deployment,
+    subnet: str,
+    generator: random.Random,
+    *,
+    restores: bool,
 ) -> None:
     loop = system.loop
     history = system.history
@@ -90,12 +99,15 @@
                 )
             )
         injector = faults.Injector(system, all_targets)
-        injector.schedule(faults.schedule(generator, history.seconds))
+        injector.schedule(
+            faults.schedule(generator, history.seconds, restores=restores)
+        )
         loop.call_every(POLL_INTERVAL_S, system.restart_exited)
         loop.call_later(history.seconds, stop)
 
     loop.call_later(POLL_INTERVAL_S, begin_when_ready)
     loop.run()
+    history.outdated_members += system.outdated_members()
     for group in client_groups:
         group.close()
     for target in all_targets:
--- a/godwitturn/tests/test_soak.py
+++ b/godwitturn/tests/test_soak.py
@@ -98,6 +98,10 @@
         self.history.unexpected_exits.append("balancer-0: status 1")
         self.assertEqual(1, self.violation_count())
 
+    def test_outdated_balancer_at_the_end_is_a_violation(self) -> None:
+        self.history.outdated_members.append("balancer-0: version 3, not 5")
+        self.assertEqual(1, self.violation_count())
+
     def test_low_share_of_served_requests_is_a_violation(self) -> None:
         given_up = histories.GivenUp(129.5, FLOW, True)
         self.assertEqual(1, self.violation_count(*[given_up] * 4))
@@ -115,7 +119,9 @@
         scheduled = [
             fault
             for seed in range(20)
-            for fault in faults.schedule(random.Random(seed), 60.0)
+            for fault in faults.schedule(
+                random.Random(seed), 60.0, restores=True
+            )
         ]
         self.assertEqual(set(Kind), {fault.kind for fault in scheduled})
         overlaps = sum(
@@ -124,11 +130,23 @@
         )
         self.assertGreater(overlaps, len(scheduled) // 4)
 
+    def test_restores_are_scheduled_only_if_asked_for(self) -> None:
+        for restores in (False, True):
+            with self.subTest(restores=restores):
+                scheduled = faults.schedule(
+                    random.Random(3), 24.0, restores=restores
+                )
+                kinds = {fault.kind for fault in scheduled}
+                self.assertEqual(restores, Kind.STORE_RESTORED in kinds)
+
     def test_no_faults_at_the_end(self) -> None:
-        for fault in faults.schedule(random.Random(1), 60.0):
-            self.assertLess(
-                fault.at, 60.0 - faults.RECOVERY_S - checks.FAULT_FREE_S
-            )
+        for restores in (False, True):
+            for fault in faults.schedule(
+                random.Random(1), 60.0, restores=restores
+            ):
+                self.assertLess(
+                    fault.at, 60.0 - faults.RECOVERY_S - checks.FAULT_FREE_S
+                )
 
 
 class TestProxy(unittest.TestCase):
@@ -230,3 +248,11 @@
         history = run.soak(3, 24.0)
         self.assertGreater(len(history.faults), 2)
         self.assertEqual([], checks.violations(history))
+
+    def test_short_soak_with_a_restored_store_violates_no_guarantee(
+        self,
+    ) -> None:
+        history = run.soak(5, 24.0, restores=True)
+        kinds = {fault.kind for fault in history.faults}
+        self.assertIn(Kind.STORE_RESTORED, kinds)
+        self.assertEqual([], checks.violations(history))
