--- a/godwitturn/standins/control_network.py
+++ b/godwitturn/standins/control_network.py
@@ -89,6 +89,17 @@
                 daemon.has_unread_documents = True
         return self.revision
 
+    def backup(self) -> tuple[dict[str, Any], int]:
+        """Returns the store's documents and revision, for `restore`."""
+        return dict(self.documents), self.revision
+
+    def restore(self, backup: tuple[dict[str, Any], int]) -> None:
+        """Restores the store; later revisions are given out again."""
+        backed_up, self.revision = backup
+        self.documents = dict(backed_up)
+        for daemon in self.daemon_by_id.values():
+            daemon.has_unread_documents = True
+
     def start(self, member: documents.Member) -> Daemon:
         """Starts a daemon, or restarts it with its state lost."""
         if member.member_id in self.daemon_by_id:
