Test in the simulation that agents take turns at a new configuration

With 26 agents, none of three balancers is asked by more than a few of them in half a second, and each is asked. The test fails with the former choice, the daemon heard last, at once.

--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -130,6 +130,7 @@
         A copy of another daemon would arrive over the same link and delay
         both.
         """
+        # The first client belongs to the mirror of the documents.
         return self.store_clients[0].is_receiving
 
     def documents_copy(self) -> document_exchange.Documents:
--- a/godwitturn/tests/test_transparent_simulation.py
+++ b/godwitturn/tests/test_transparent_simulation.py
@@ -211,6 +211,40 @@
         self.assert_served(clients, 1)
 
 
+class TestDocumentFetches(SimulationTestCase):
+    """Agents that learn of a new configuration at the same time."""
+
+    # Guards against all agents fetching a large document from one balancer
+    # at the same time, which fills its link for seconds.
+    def test_agents_fetch_a_new_configuration_one_after_the_other(
+        self,
+    ) -> None:
+        for number in range(1, 20):
+            self.simulation.start_vm(f"10.1.9.{number}")
+        self.simulation.run(2.0)
+        agents = [
+            vm.agent
+            for vm in self.simulation.vm_by_address.values()
+            if vm.agent is not None
+        ]
+        for agent in agents:
+            agent.fetcher.set_position(agent.position)
+        self.simulation.configure_all(transparent_simulation.configuration(2))
+        sources: list[tuple[float, str]] = []
+        for _ in range(600):
+            self.simulation.run(0.05)
+            for agent in agents:
+                source = agent.fetcher.next_source(now=self.simulation.now)
+                if source is not None:
+                    agent.fetcher.set_position(agent.position)
+                    sources.append((self.simulation.now, source))
+        self.assertEqual(len(agents), len(sources))
+        self.assertEqual(set(BALANCERS), {source for _, source in sources})
+        for at, _ in sources:
+            in_half_second = [t for t, _ in sources if at <= t < at + 0.5]
+            self.assertLessEqual(len(in_half_second), 5)
+
+
 class TestFailures(SimulationTestCase):
     """Flows must survive failures of processes, or be reset immediately."""
 
