--- a/godwitturn/tests/test_cli_deployment.py
+++ b/godwitturn/tests/test_cli_deployment.py
@@ -11,7 +11,7 @@
 from godwitturn.cli import exit_codes
 from godwitturn.cli import main
 from godwitturn.standins import platform_store
-from godwitturn.tests import test_platform_programs
+from godwitturn.tests import program_case
 from godwitturn.tests import test_platform_settings
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -93,7 +93,7 @@
         self.assertIn("zone is 7; expected str", run(*arguments)[2])
 
 
-class TestBeliefs(test_platform_programs.ProgramCase):
+class TestBeliefs(program_case.ProgramCase):
     """The states of daemons must be shown, and unreachable ones named."""
 
     def test_states_are_shown_as_tables_and_as_json(self) -> None:
