Let the control plane follow a store restored from a backup

What callers saw: after a restore of the token protocol's store, changes were not in force and daemons were fenced until the store's revisions had passed those it had lost.

Cause: control nodes ordered documents and reports by revision alone. A restored store gives revisions out again, so what it had lost won over what it has. The etcd gateway tells no era, unlike the platform's store.

Ruled out: the cluster id as a sign, since a restore with the same token and addresses keeps it; an era key in the store, since it is restored too.

Change: the transparent path's StorePosition is the one rule of order for both paths. A reader notices a restore by a linearizable answer that lacks what its view had before it asked, and begins the next era. Versions are packed with the era, so deltas, digests and reports keep their form. A view of a later era replaces the whole configuration, reports of another era confirm nothing, and answers from before an era are dropped. The feed reads all documents again after each loss of its watch.

TestRestore in test_failures_store, with real processes, passes: a change after the restore is in force within 5 s at all daemons, no flow breaks.

Tests of the reader now mark complete reads as such, since only these are accepted first.

--- a/benchmarks/bench_first_copy.py
+++ b/benchmarks/bench_first_copy.py
@@ -111,7 +111,7 @@
 
 async def _wait_version(run: system_runs.Run, name: str) -> None:
     with trio.fail_after(TIMEOUT_S):
-        while not operator_actions.logged_versions(run, name):
+        while not operator_actions.logged_positions(run, name):
             await trio.sleep(POLL_S)
 
 
--- a/benchmarks/bench_in_force.py
+++ b/benchmarks/bench_in_force.py
@@ -31,8 +31,10 @@
         waiting = {
             name
             for name in waiting
-            if max(operator_actions.logged_versions(run, name), default=0)
-            < revision
+            if not any(
+                position.revision >= revision
+                for position in operator_actions.logged_positions(run, name)
+            )
         }
         if time.monotonic() - started > TIMEOUT_S:
             raise RuntimeError(
--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -15,13 +15,13 @@
 import zlib
 
 from godwitturn import bytecode
+from godwitturn.core import store_position
 from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
-from godwitturn.core.transparent import store_position
 from godwitturn.platform import packets
 from godwitturn.protocol import transparent
 from godwitturn.standins import transparent_simulation
--- a/godwitturn/admin/api.py
+++ b/godwitturn/admin/api.py
@@ -85,7 +85,8 @@
                 "name": self.options.name,
                 "data_centre": self.options.data_centre,
                 "deployment": self.options.deployment,
-                "version": self.state.version,
+                "version": self.state.position.revision,
+                "era": self.state.position.era,
                 "fenced": self.state.fenced,
                 "members": [
                     {
--- a/godwitturn/admin/state.py
+++ b/godwitturn/admin/state.py
@@ -10,6 +10,7 @@
 from godwitturn.core import events
 from godwitturn.core import identity
 from godwitturn.core import membership
+from godwitturn.core import store_position
 from godwitturn.metrics import registry as registries
 from godwitturn.settings import schema
 
@@ -24,8 +25,8 @@
     """Current state of a balancer, read on each request."""
 
     @property
-    def version(self) -> int:
-        """Version of the configuration in force."""
+    def position(self) -> store_position.StorePosition:
+        """State of the store that the configuration in force is of."""
 
     @property
     def fenced(self) -> bool:
--- a/godwitturn/core/configuration.py
+++ b/godwitturn/core/configuration.py
@@ -1,6 +1,11 @@
-"""Versioned configuration documents and their decoded values."""
+"""Versioned configuration documents and their decoded values.
+
+Versions are packed positions of the store, see `store_position`, so they also
+order documents across a restore of the store.
+"""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import hashlib
@@ -11,6 +16,7 @@
 
 from godwitturn.core import documents
 from godwitturn.core import identity
+from godwitturn.core import store_position
 
 RULES_KEY = "rules"
 SERVICES_PREFIX = "services/"
@@ -45,7 +51,8 @@
 
     Attributes:
         key: Its key, relative to the deployment's prefix.
-        revision: The store's `mod_revision` of the key.
+        revision: The store's `mod_revision` of the key, packed with the
+            store's era.
         body: msgpack encoding of the type that belongs to the key.
     """
 
@@ -147,11 +154,12 @@
 
 def _precedence(
     document: VersionedDocument, value: Any
-) -> tuple[int, int, bytes]:
+) -> tuple[int, int, int, bytes]:
     # Bodies of one revision are equal unless a peer is faulty. Comparing the
     # bodies makes the result of merging independent of the order even then.
+    era = store_position.StorePosition.unpack(document.revision).era
     holder = value.holder_revision if isinstance(value, Directory) else 0
-    return holder, document.revision, document.body
+    return era, holder, document.revision, document.body
 
 
 @attrs.define
@@ -160,9 +168,9 @@
 
     Attributes:
         document_by_key: The documents.
-        complete_through: Revision through which no document is missing, or 0
-            before the first complete snapshot. It serves as the version of
-            the configuration.
+        complete_through: Packed position of the store through which no
+            document is missing, or 0 before the first complete snapshot. It
+            serves as the version of the configuration.
         value_by_key: Their decoded bodies.
         undecodable: Keys of documents in the store that could not be
             decoded. Set by `etcd.repository.Repository.read` only.
@@ -199,6 +207,19 @@
         self._hash_by_key[document.key] = document_hash(document)
         return True
 
+    def retain(self, keys: Collection[str]) -> bool:
+        """Drops the documents with other keys.
+
+        Returns:
+            Whether a document was dropped.
+        """
+        dropped = [key for key in self.document_by_key if key not in keys]
+        for key in dropped:
+            del self.document_by_key[key]
+            del self.value_by_key[key]
+            del self._hash_by_key[key]
+        return bool(dropped)
+
     def mark_complete_through(self, revision: int) -> bool:
         """Records that no document through a revision is missing.
 
@@ -221,11 +242,18 @@
         return Digest(self.complete_through, len(hashes), total)
 
     def changed_since(self, revision: int) -> tuple[VersionedDocument, ...]:
-        """Returns the documents above a revision, in revision order."""
+        """Returns the documents above a revision, in revision order.
+
+        For a revision of another era of the store these are all documents.
+        """
+        is_same_era = (
+            store_position.StorePosition.unpack(revision).era
+            == self.position.era
+        )
         newer = [
             document
             for document in self.document_by_key.values()
-            if document.revision > revision
+            if document.revision > revision or not is_same_era
         ]
         return tuple(sorted(newer, key=_by_revision))
 
@@ -237,6 +265,11 @@
             if key.startswith(prefix)
         }
 
+    @property
+    def position(self) -> store_position.StorePosition:
+        """State of the store through which no document is missing."""
+        return store_position.StorePosition.unpack(self.complete_through)
+
     @property
     def rules(self) -> documents.Rules:
         """The rules, or the default rules while there is no document."""
--- a/godwitturn/core/control_events.py
+++ b/godwitturn/core/control_events.py
@@ -95,16 +95,24 @@
     """Documents read from the store.
 
     After `StartStoreReader`, the first event has all documents below the
-    prefix, and the next ones have every change in revision order.
+    prefix, and the next ones have every change in revision order. All
+    documents are read again after each loss of the watch.
 
     Attributes:
-        documents: The documents.
+        documents: The documents, with the store's own revisions.
         revision: The store's revision up to which the changes are complete;
             0 for a read of single documents, such as a directory.
+        is_complete: Whether these are all documents below the prefix.
+        malformed: Keys below the prefix whose values are not documents.
+        age: Seconds since the request that the store answered was sent,
+            including pauses of the daemon.
     """
 
     documents: tuple[configurations.VersionedDocument, ...]
     revision: int
+    is_complete: bool = False
+    malformed: tuple[str, ...] = ()
+    age: float = 0.0
 
 
 @attrs.frozen
--- a/godwitturn/core/distribution.py
+++ b/godwitturn/core/distribution.py
@@ -28,6 +28,7 @@
 from godwitturn.core import membership as memberships
 from godwitturn.core import outbox as outboxes
 from godwitturn.core import reader_reports
+from godwitturn.core import store_position
 from godwitturn.core import store_reader
 from godwitturn.core import uplinks as uplink_tables
 from godwitturn.protocol import control
@@ -216,9 +217,40 @@
     def _handle_documents_read(
         self, event: control_events.DocumentsRead, now: float
     ) -> None:
-        snapshot = self.reader.snapshot_of(event)
-        if snapshot is not None:
-            self._merge(*snapshot, now)
+        snapshot = self.reader.snapshot_of(event, now=now)
+        if snapshot is None:
+            return
+        read, newest = snapshot
+        position = self.configuration.position
+        if event.is_complete and self.reader.shows_restore(
+            event, self.configuration, now=now
+        ):
+            lost, position = (
+                position,
+                attrs.evolve(position, era=position.era + 1),
+            )
+            self._emit(
+                events.EventId.CONTROL_STORE_RESTORED,
+                era=position.era,
+                known_revision=lost.revision,
+                read_revision=event.revision,
+            )
+        documents_read = tuple(
+            attrs.evolve(
+                document,
+                revision=attrs.evolve(
+                    position, revision=document.revision
+                ).packed,
+            )
+            for document in read
+        )
+        version = 0
+        if event.revision > 0:
+            version = attrs.evolve(position, revision=newest).packed
+        self._merge(documents_read, version, now, also_kept=event.malformed)
+
+    def _restart_reader(self, now: float) -> None:
+        self.outbox.actions.extend(self.reader.restart(now=now))
 
     def _handle_store_confirmed(
         self, event: control_events.StoreConfirmed, now: float
@@ -226,6 +258,10 @@
         version = self.configuration.complete_through
         if self.reader.confirms(event, version):
             self._apply_own_report(now - event.age, now, store_answered=True)
+        elif self.reader.needs_restart or self.reader.shows_restore(
+            event, self.configuration, now=now
+        ):
+            self._restart_reader(now)
 
     def _apply_own_report(
         self, reported_at: float, now: float, *, store_answered: bool
@@ -243,7 +279,25 @@
         received: tuple[configurations.VersionedDocument, ...],
         snapshot: int,
         now: float,
+        *,
+        also_kept: tuple[str, ...] = (),
     ) -> None:
+        """Merges documents into the configuration.
+
+        Args:
+            received: The documents; all of them if their era is a later one
+                than that of the configuration.
+            snapshot: The version that they lead to.
+            now: Monotonic time in seconds.
+            also_kept: Other documents that a later era doesn't remove.
+        """
+        position = self.configuration.position
+        begins_era = (
+            store_position.StorePosition.unpack(snapshot).era > position.era
+        )
+        is_any_lost = begins_era and self.configuration.retain(
+            {*also_kept, *(document.key for document in received)}
+        )
         changed, rejected = configurations.merge_documents(
             self.configuration, received
         )
@@ -256,9 +310,14 @@
             )
         advanced = self.configuration.mark_complete_through(snapshot)
         if advanced:
-            version = self.configuration.complete_through
-            self._emit(events.EventId.CONTROL_VERSION, version=version)
-        if changed or advanced:
+            reached = self.configuration.position
+            self._emit(
+                events.EventId.CONTROL_VERSION,
+                version=reached.revision,
+                era=reached.era,
+            )
+        if changed or advanced or is_any_lost:
+            self.reader.record_view(begins_era=begins_era, now=now)
             self._configuration_changed(now)
 
     def _configuration_changed(self, now: float) -> None:
@@ -393,7 +452,12 @@
             attachment.known_version = max(
                 attachment.known_version, delta.snapshot
             )
+        era = self.configuration.position.era
         self._merge(tuple(received), delta.snapshot, now)
+        if self.configuration.position.era > era:
+            # What this daemon's own reads of the store deliver next may still
+            # be of the earlier era.
+            self._restart_reader(now)
 
     # Sending
 
--- a/godwitturn/core/freshness.py
+++ b/godwitturn/core/freshness.py
@@ -13,6 +13,7 @@
 import attrs
 
 from godwitturn.core import identity
+from godwitturn.core import store_position
 
 # Age at which a report or confirmation expires.
 CONFIRMATION_SECONDS = 3.0
@@ -30,7 +31,7 @@
 
     Attributes:
         reader: Member id of the reader.
-        revision: The newest revision that the reader has.
+        revision: Packed position of the newest state that the reader has.
         reported_at: Earliest time of the report, on this daemon's clock.
         store_answered: Whether the store confirmed the revision; otherwise
             the store was unreachable from the reader.
@@ -101,12 +102,20 @@
     for report in state.report_by_reader.values():
         if (
             report.store_answered
-            and report.revision <= complete_through
+            and _confirms(report.revision, complete_through)
             and report.reader in data_centre_by_reader
         ):
             state.confirmed_at = max(state.confirmed_at, report.reported_at)
 
 
+def _confirms(reported: int, complete_through: int) -> bool:
+    # A reader in another era than the view shows nothing about it: one of the
+    # two has not heard of a restore of the store.
+    reported_era = store_position.StorePosition.unpack(reported).era
+    era = store_position.StorePosition.unpack(complete_through).era
+    return reported_era == era and reported <= complete_through
+
+
 def should_fence(
     state: Freshness,
     complete_through: int,
@@ -119,7 +128,7 @@
 
     Args:
         state: The reports, with `update_confirmation` called for them.
-        complete_through: Revision of the view; 0 is never confirmed.
+        complete_through: Packed position of the view; 0 is never confirmed.
         data_centre_by_reader: Approved balancers; other readers are ignored.
         data_centres: All data centres of the deployment.
         now: Monotonic time in seconds.
--- a/godwitturn/core/transparent/store_position.py
+++ b/godwitturn/core/store_position.py
@@ -6,8 +6,13 @@
 tell older from newer states of the store compares positions.
 """
 
+from typing import Self
+
 import attrs
 
+# Bits of a revision in `StorePosition.packed`.
+REVISION_BITS = 48
+
 
 @attrs.define(frozen=True, order=True, repr=False)
 class StorePosition:
@@ -22,6 +27,17 @@
     era: int = 0
     revision: int = 0
 
+    @property
+    def packed(self) -> int:
+        """The position as one number of 64 bits, in the same order."""
+        return self.era << REVISION_BITS | self.revision
+
+    @classmethod
+    def unpack(cls, packed: int) -> Self:
+        """Returns the position of a packed number."""
+        era = packed >> REVISION_BITS
+        return cls(era, packed - (era << REVISION_BITS))
+
 
 # Before anything has been read from the store.
 UNREAD = StorePosition()
--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import document_exchange
@@ -17,7 +18,6 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import pacing
 from godwitturn.core.transparent import segments
-from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import subscribers as subscriber_tables
 from godwitturn.core.transparent import target_health
 from godwitturn.core.transparent import target_watch
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import flow_cache
 from godwitturn.core.transparent import graceful_stop
@@ -16,7 +17,6 @@
 from godwitturn.core.transparent import peers as peer_tables
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import segments
-from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import targets
 
 TICK_S = 0.1
--- a/godwitturn/core/transparent/document_exchange.py
+++ b/godwitturn/core/transparent/document_exchange.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from godwitturn.core.transparent import store_position
+from godwitturn.core import store_position
 
 # Time for which a copy must be outdated before a newer one is fetched. Watches
 # deliver changes within milliseconds, so by then the store is unlikely to
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import segments
-from godwitturn.core.transparent import store_position
 
 
 class Refusal(enum.IntEnum):
--- a/godwitturn/core/transparent/mirror.py
+++ b/godwitturn/core/transparent/mirror.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import document_exchange
-from godwitturn.core.transparent import store_position
 
 # The delay before a retry doubles with each failure, from the minimum to the
 # maximum. Jitter then shortens it by up to a half.
--- a/godwitturn/core/transparent/peers.py
+++ b/godwitturn/core/transparent/peers.py
@@ -2,8 +2,8 @@
 
 import attrs
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import messages
-from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import targets
 
 STATUS_INTERVAL_S = 0.5
--- a/godwitturn/daemons/admin.py
+++ b/godwitturn/daemons/admin.py
@@ -9,6 +9,7 @@
 from godwitturn.admin import state as states
 from godwitturn.core import identity
 from godwitturn.core import membership
+from godwitturn.core import store_position
 from godwitturn.daemons import clock
 from godwitturn.daemons import control
 from godwitturn.daemons import runtime as runtimes
@@ -27,9 +28,9 @@
     repository: repositories.Repository
 
     @property
-    def version(self) -> int:
-        """Version of the configuration in force."""
-        return self.control.version
+    def position(self) -> store_position.StorePosition:
+        """State of the store that the configuration in force is of."""
+        return self.control.position
 
     @property
     def fenced(self) -> bool:
--- a/godwitturn/daemons/balancer.py
+++ b/godwitturn/daemons/balancer.py
@@ -12,6 +12,7 @@
 from godwitturn.core import balancer
 from godwitturn.core import coalescing
 from godwitturn.core import identity
+from godwitturn.core import store_position
 from godwitturn.core import token as tokens
 from godwitturn.daemons import clock
 from godwitturn.daemons import common
@@ -60,7 +61,7 @@
         self._caller_socket = udp.UdpEndpoint(settings.balancer.caller_address)
         self._agent_socket = udp.UdpEndpoint(settings.balancer.data_address)
         self._coalescer = coalescing.Coalescer()
-        self._applied_version = 0
+        self._applied_position = store_position.UNREAD
         self.control = control.ControlService(
             settings,
             self.runtime,
@@ -70,7 +71,7 @@
 
     def _handle_control_change(self) -> None:
         self._coalescer.record_change()
-        if self.control.version != self._applied_version:
+        if self.control.position != self._applied_position:
             # A new configuration is applied without delay: it may forbid
             # routes that the old table allows, and the daemon would not be
             # fenced, because its configuration counts as confirmed.
@@ -90,7 +91,7 @@
         )
 
     def _update_routing_table(self) -> None:
-        self._applied_version = self.control.version
+        self._applied_position = self.control.position
         inputs = self.control.routing_inputs()
         table = inputs.build_table(own_data_centre=self._settings.data_centre)
         self._dispatch(actions.RoutingChanged(table))
--- a/godwitturn/daemons/control.py
+++ b/godwitturn/daemons/control.py
@@ -17,6 +17,7 @@
 from godwitturn.core import identity
 from godwitturn.core import membership
 from godwitturn.core import policy as policies
+from godwitturn.core import store_position
 from godwitturn.core import views
 from godwitturn.daemons import clock
 from godwitturn.daemons import control_channel
@@ -119,7 +120,8 @@
 
     def _gauges(self) -> dict[str, float]:
         return {
-            "configuration_version": self.version,
+            "configuration_version": self.position.revision,
+            "configuration_era": self.position.era,
             "fenced": float(self.node.is_fenced),
             "reading_store": float(self.node.reader.is_active),
             "control_sent_bytes": self.channel.sent_bytes,
@@ -130,9 +132,9 @@
     # Called by the daemon
 
     @property
-    def version(self) -> int:
-        """Version of the configuration in force."""
-        return self.node.configuration.complete_through
+    def position(self) -> store_position.StorePosition:
+        """State of the store that the configuration in force is of."""
+        return self.node.configuration.position
 
     @property
     def announcement_by_id(
--- a/godwitturn/daemons/directory.py
+++ b/godwitturn/daemons/directory.py
@@ -20,6 +20,7 @@
 from godwitturn.core import distribution
 from godwitturn.core import documents
 from godwitturn.core import events
+from godwitturn.core import store_position
 from godwitturn.daemons import clock
 from godwitturn.etcd import leases
 from godwitturn.etcd import operations
@@ -197,11 +198,13 @@
         document = node.configuration.document_by_key.get(self._directory_key)
         value = operations.StoredDocument((), msgspec.msgpack.encode(changed))
         key = self._prefix + self._directory_key
-        revision = document.revision if document is not None else 0
+        known = store_position.StorePosition.unpack(
+            document.revision if document is not None else 0
+        )
         result = await lease_manager.write_with_lease(
             lease,
             [wire.Put(key, operations.encode(value))],
-            [wire.Compare(key, mod_revision=revision)],
+            [wire.Compare(key, mod_revision=known.revision)],
         )
         if isinstance(result, results.Success):
             event_id = events.EventId.CONTROL_DIRECTORY_WRITTEN
--- a/godwitturn/daemons/store_feed.py
+++ b/godwitturn/daemons/store_feed.py
@@ -61,7 +61,19 @@
             nursery.start_soon(self._watch_forever)
             nursery.start_soon(self._confirm_forever)
 
-    def _emit_documents(self, parsed: repository.ParsedDocuments) -> None:
+    def _emit_documents(
+        self,
+        parsed: repository.ParsedDocuments,
+        *,
+        read_age_s: float | None = None,
+    ) -> None:
+        """Passes documents on.
+
+        Args:
+            parsed: The documents.
+            read_age_s: For a read of all documents, the seconds since its
+                request was sent.
+        """
         for key in parsed.malformed:
             self.log(
                 events.LogEvent(
@@ -70,7 +82,11 @@
             )
         self.emit(
             control_events.DocumentsRead(
-                parsed.documents, self._delivered_revision
+                parsed.documents,
+                self._delivered_revision,
+                is_complete=read_age_s is not None,
+                malformed=parsed.malformed,
+                age=read_age_s or 0.0,
             )
         )
 
@@ -85,7 +101,8 @@
                     self._emit_documents(
                         repository.parse_documents(
                             self.prefix, read_result.key_values
-                        )
+                        ),
+                        read_age_s=clock.now() - started_at,
                     )
                     return
             self._report_failure(started_at)
@@ -111,9 +128,20 @@
             start_revision=self._delivered_revision + 1,
             clock=clock.now,
         )
+        is_lost = False
         async with changes:
             async for event in changes:
                 match event:
+                    case watch.Disconnected():
+                        is_lost = True
+                    case watch.Connected() if is_lost:
+                        is_lost = False
+                        watched_from = self._delivered_revision
+                        # The store may have been restored from a backup, and
+                        # a reading control node compares all documents.
+                        await self._read_all()
+                        if self._delivered_revision < watched_from:
+                            return
                     case watch.ChangeBatch(revision, batch):
                         self._handle_changes(revision, batch)
                     case watch.Progress(revision):
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -1,5 +1,6 @@
 """Program of an agent on the platform, which runs beside one target."""
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import document_exchange
@@ -8,7 +9,6 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
-from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import subscribers as subscriber_tables
 from godwitturn.core.transparent import target_watch
 from godwitturn.daemons import http_client
--- a/godwitturn/platform/documents.py
+++ b/godwitturn/platform/documents.py
@@ -5,10 +5,10 @@
 import socket
 from typing import Any
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import routes
-from godwitturn.core.transparent import store_position
 from godwitturn.protocol import json_values
 
 CONFIGURATION_KEY = "op/config"
--- a/godwitturn/platform/operator_changes.py
+++ b/godwitturn/platform/operator_changes.py
@@ -1,9 +1,9 @@
 """Applies changes of the operators' documents to a balancer."""
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import mirror
-from godwitturn.core.transparent import store_position
 from godwitturn.platform import documents
 
 
--- a/godwitturn/platform/store.py
+++ b/godwitturn/platform/store.py
@@ -9,9 +9,9 @@
 import json
 from typing import Any
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
-from godwitturn.core.transparent import store_position
 from godwitturn.daemons import http_client
 from godwitturn.daemons import reactor
 from godwitturn.platform import documents
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -10,9 +10,9 @@
 import struct
 from typing import Any
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
-from godwitturn.core.transparent import store_position
 from godwitturn.protocol import json_values
 
 _KIND_FORWARD = 1
--- a/godwitturn/standins/control_fixtures.py
+++ b/godwitturn/standins/control_fixtures.py
@@ -109,6 +109,7 @@
         reads_store: Whether its store reader is started.
         has_unread_documents: Whether the store has documents that it has not
             read.
+        reads: How often its store reader was started.
         is_paused: Whether events are buffered instead of handled.
         is_running: Whether it handles events; False after a restart.
         buffered_events: Events that arrived while it was paused, with the
@@ -124,6 +125,7 @@
     node: distribution.ControlNode
     reads_store: bool = False
     has_unread_documents: bool = True
+    reads: int = 0
     is_paused: bool = False
     is_running: bool = True
     buffered_events: list[tuple[Any, float]] = attrs.field(factory=list)
--- a/godwitturn/standins/control_fleet.py
+++ b/godwitturn/standins/control_fleet.py
@@ -60,3 +60,18 @@
         for key, document in network.documents.items()
         if not service or downlinks.agent_subscribes_to(key, service)
     }
+
+
+def bodies_of(daemon: Daemon) -> dict[str, bytes]:
+    """Returns the bodies of a daemon's documents, by key."""
+    return {key: found.body for key, found in documents_of(daemon).items()}
+
+
+def expected_bodies(
+    network: control_network.Network, daemon: Daemon
+) -> dict[str, bytes]:
+    """Returns the bodies of an up-to-date daemon's documents, by key."""
+    return {
+        key: document.body
+        for key, document in expected_documents(network, daemon).items()
+    }
--- a/godwitturn/standins/control_network.py
+++ b/godwitturn/standins/control_network.py
@@ -10,6 +10,7 @@
 
 from godwitturn.core import actions
 from godwitturn.core import addresses
+from godwitturn.core import configuration
 from godwitturn.core import control_events
 from godwitturn.core import documents
 from godwitturn.standins import control_fixtures as fixtures
@@ -78,9 +79,13 @@
         Daemons that read the store and reach it receive the document; the
         others read it the next time they poll the store.
         """
+        return self.put_document(fixtures.document(key, 0, value))
+
+    def put_document(self, written: configuration.VersionedDocument) -> int:
+        """Writes a document's body like `put`."""
         self.revision += 1
-        document = fixtures.document(key, self.revision, value)
-        self.documents[key] = document
+        document = attrs.evolve(written, revision=self.revision)
+        self.documents[document.key] = document
         event = control_events.DocumentsRead((document,), self.revision)
         for daemon in self.daemon_by_id.values():
             if daemon.reads_store and self._store_answers(daemon):
@@ -93,12 +98,23 @@
         """Returns the store's documents and revision, for `restore`."""
         return dict(self.documents), self.revision
 
-    def restore(self, backup: tuple[dict[str, Any], int]) -> None:
-        """Restores the store; later revisions are given out again."""
+    def restore(
+        self,
+        backup: tuple[dict[str, Any], int],
+        *,
+        cuts_watches: bool = True,
+    ) -> None:
+        """Restores the store; later revisions are given out again.
+
+        Args:
+            backup: What `backup` returned.
+            cuts_watches: Whether daemons lose their watches, and therefore
+                read all documents again.
+        """
         backed_up, self.revision = backup
         self.documents = dict(backed_up)
         for daemon in self.daemon_by_id.values():
-            daemon.has_unread_documents = True
+            daemon.has_unread_documents |= cuts_watches
 
     def start(self, member: documents.Member) -> Daemon:
         """Starts a daemon, or restarts it with its state lost."""
@@ -134,7 +150,9 @@
 
     def _receive(self, daemon: Daemon, event: Any, sent_at: float) -> None:
         delay_s = self.now - sent_at
-        if isinstance(event, control_events.StoreConfirmed):
+        if isinstance(
+            event, control_events.StoreConfirmed | control_events.DocumentsRead
+        ):
             event = attrs.evolve(event, age=delay_s)
         # A delay over 1 s means that the event was buffered during a pause.
         # Daemons report no failure of a store call that began before a pause.
@@ -156,7 +174,8 @@
                     self._send(daemon, action)
                 case control_events.StartStoreReader():
                     daemon.reads_store = daemon.has_unread_documents = True
-                    self._poll_store(daemon)
+                    daemon.reads += 1
+                    self._poll_store(daemon, daemon.reads)
                 case control_events.StopStoreReader():
                     daemon.reads_store = False
                 case control_events.ConfigurationChanged():
@@ -186,15 +205,16 @@
     def _store_answers(self, daemon: Daemon) -> bool:
         return not (self.store_down or self.is_store_partitioned(daemon))
 
-    def _poll_store(self, daemon: Daemon) -> None:
-        if not daemon.reads_store or not daemon.is_running:
+    def _poll_store(self, daemon: Daemon, read: int) -> None:
+        is_current = daemon.reads_store and read == daemon.reads
+        if not is_current or not daemon.is_running:
             return
         self.store_polls += 1
         is_answered = self._store_answers(daemon)
         if is_answered and daemon.has_unread_documents:
             all_documents = tuple(self.documents.values())
             documents_read = control_events.DocumentsRead(
-                all_documents, self.revision
+                all_documents, self.revision, is_complete=True
             )
             self._deliver(daemon, documents_read, 0.005)
             daemon.has_unread_documents = False
@@ -202,4 +222,6 @@
         if not is_answered:
             event = control_events.StoreUnreachable()
         self._deliver(daemon, event, 0.006 if is_answered else 0.3)
-        self.call_later(STORE_POLL_SECONDS, lambda: self._poll_store(daemon))
+        self.call_later(
+            STORE_POLL_SECONDS, lambda: self._poll_store(daemon, read)
+        )
--- a/godwitturn/standins/operator_actions.py
+++ b/godwitturn/standins/operator_actions.py
@@ -15,6 +15,7 @@
 from godwitturn.admin import operations
 from godwitturn.core import configuration as configurations
 from godwitturn.core import documents
+from godwitturn.core import store_position
 from godwitturn.etcd import repository
 from godwitturn.etcd import store
 from godwitturn.standins import deployments
@@ -25,7 +26,7 @@
 IN_FORCE_BOUND_S = 5.0
 CONDITION_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
-_VERSION_LINE = re.compile(r"GW507 control_version version=(\d+)")
+_VERSION_LINE = re.compile(r"GW507 control_version version=(\d+) era=(\d+)")
 
 
 @attrs.define
@@ -186,10 +187,15 @@
     raise AssertionError(f"did not happen within {timeout_s} s: {description}")
 
 
-def logged_versions(run: system_runs.Run, name: str) -> list[int]:
-    """Returns the configuration versions in a daemon's log, in its order."""
+def logged_positions(
+    run: system_runs.Run, name: str
+) -> list[store_position.StorePosition]:
+    """Returns the configurations in a daemon's log, in its order."""
     text = run.system.table.process_by_name[name].log.read_text()
-    return [int(found) for found in _VERSION_LINE.findall(text)]
+    return [
+        store_position.StorePosition(int(era), int(revision))
+        for revision, era in _VERSION_LINE.findall(text)
+    ]
 
 
 def event_count(run: system_runs.Run, name: str, event_number: int) -> int:
@@ -205,7 +211,11 @@
 
 
 async def wait_in_force(
-    run: system_runs.Run, revision: int, names: list[str] | None = None
+    run: system_runs.Run,
+    revision: int,
+    names: list[str] | None = None,
+    *,
+    era: int = 0,
 ) -> None:
     """Waits until a revision is in force at daemons.
 
@@ -213,16 +223,19 @@
         run: The run.
         revision: Revision to wait for; a later one counts as well.
         names: Process names of the daemons; None for all.
+        era: How often the store was restored before.
 
     Raises:
         AssertionError: It is not in force at a daemon within
             `IN_FORCE_BOUND_S`.
     """
     waiting = set(daemon_names(run) if names is None else names)
+    wanted = store_position.StorePosition(era, revision)
 
     async def is_in_force() -> bool:
         for name in sorted(waiting):
-            if max(logged_versions(run, name), default=0) >= revision:
+            found = logged_positions(run, name)
+            if max(found, default=store_position.UNREAD) >= wanted:
                 waiting.discard(name)
         return not waiting
 
--- a/godwitturn/standins/store/service.py
+++ b/godwitturn/standins/store/service.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+import copy
 from typing import Any
 
 import attrs
@@ -9,6 +10,8 @@
 
 from godwitturn.standins.store import state as states
 
+_MOMENTARY_FAULTS = ("drop_watches", "restore", "take_backup")
+
 
 @attrs.define
 class RateLimit:
@@ -91,6 +94,7 @@
         self.faults = Faults()
         self.count_by_kind: collections.Counter[str] = collections.Counter()
         self.waiting_watches = 0
+        self._backup = copy.deepcopy(self.state)
         # Each watch connection stores the watch generation at its start. An
         # increase of the watch generation resets all older connections. Those
         # older than the silent generation stay open without messages instead.
@@ -105,18 +109,24 @@
     def set_faults(self, values: dict[str, Any]) -> None:
         """Changes faults by name.
 
-        `drop_watches` is not a lasting fault: it resets the connections of
-        all current watches once.
+        Some are not lasting. `drop_watches` resets the connections of all
+        current watches, `take_backup` copies the state, and `restore` returns
+        to that copy, where revisions and leases are those of the copy.
 
         Raises:
             ValueError: A name is unknown or a value has the wrong type.
         """
         values = dict(values)
         drop = values.pop("drop_watches", False)
+        if values.pop("take_backup", False):
+            self._backup = copy.deepcopy(self.state)
+        if values.pop("restore", False):
+            self.state = copy.deepcopy(self._backup)
+            drop = True
         fields = attrs.fields_dict(Faults)
         for name, value in values.items():
             if name not in fields:
-                allowed = sorted([*fields, "drop_watches"])
+                allowed = sorted([*fields, *_MOMENTARY_FAULTS])
                 raise ValueError(f"fault {name!r} is not one of {allowed}")
             expected = fields[name].type
             allowed_types = (int, float) if expected is float else (expected,)
--- a/godwitturn/standins/store_readers.py
+++ b/godwitturn/standins/store_readers.py
@@ -2,9 +2,9 @@
 
 import functools
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import mirror
-from godwitturn.core.transparent import store_position
 from godwitturn.platform import documents
 from godwitturn.platform import operator_changes
 from godwitturn.platform import store as store_client
--- a/godwitturn/standins/transparent_simulation.py
+++ b/godwitturn/standins/transparent_simulation.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import cold_limit
@@ -22,7 +23,6 @@
 from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import routes
 from godwitturn.core.transparent import segments
-from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import target_watch
 from godwitturn.platform import packets
 from godwitturn.protocol import transparent
--- a/godwitturn/tests/admin_fixtures.py
+++ b/godwitturn/tests/admin_fixtures.py
@@ -17,6 +17,7 @@
 from godwitturn.core import approval_changes
 from godwitturn.core import events
 from godwitturn.core import membership
+from godwitturn.core import store_position
 from godwitturn.etcd import repository as repositories
 from godwitturn.etcd import store
 from godwitturn.metrics import registry as registries
@@ -37,7 +38,9 @@
     """Stand-in for the state of a balancer."""
 
     repository: repositories.Repository
-    version: int = 41
+    position: store_position.StorePosition = store_position.StorePosition(
+        0, 41
+    )
     fenced: bool = False
     members: dict[int, membership.Announcement] = attrs.field(factory=dict)
     registry: registries.Registry = attrs.field(factory=registries.Registry)
--- a/godwitturn/tests/test_document_exchange.py
+++ b/godwitturn/tests/test_document_exchange.py
@@ -3,10 +3,10 @@
 import collections
 import unittest
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import pacing
-from godwitturn.core.transparent import store_position
 
 
 def at(revision: int, *, era: int = 0) -> store_position.StorePosition:
--- a/godwitturn/tests/test_failures_store.py
+++ b/godwitturn/tests/test_failures_store.py
@@ -227,7 +227,7 @@
             self.assertGreater(versions.samples, 50)
             self.assertEqual([], versions.reverted)
             for name in operator_actions.daemon_names(run):
-                found = operator_actions.logged_versions(run, name)
+                found = operator_actions.logged_positions(run, name)
                 # 209 is AGENT_POLICY_REVERTED.
                 self.assertEqual(
                     0, operator_actions.event_count(run, name, 209), name
@@ -238,3 +238,34 @@
         run = self.run_system(step, FIVE_BALANCERS)
         self.assertEqual(0, run.flows_broken)
         self.assertEqual({}, run.unanswered_by_outcome)
+
+
+class TestRestore(system_case.SystemCase):
+    """Changes after a restore of the store are in force at all daemons."""
+
+    load = traffic.Load(sessions=4, requests=40, pause_s=0.25)
+
+    def test_change_after_a_restore_is_in_force(self) -> None:
+        # Guards against daemons that keep what the store has lost, because
+        # its revisions are higher than those given out again.
+        async def step(run: system_case.Run) -> None:
+            names = operator_actions.daemon_names(run)
+            async with operator_actions.open_operator_client(run) as operators:
+                await _set_faults(run, take_backup=True)
+                lost = 0
+                for _ in range(5):
+                    lost = await operators.bump_rules()
+                await operator_actions.wait_in_force(run, lost)
+                await _set_faults(run, restore=True)
+                revision = await operators.bump_rules()
+                self.assertLess(revision, lost)
+                await operator_actions.wait_in_force(run, revision, era=1)
+            for name in names:
+                # 209 is AGENT_POLICY_REVERTED.
+                self.assertEqual(
+                    0, operator_actions.event_count(run, name, 209), name
+                )
+
+        run = self.run_system(step)
+        self.assertEqual(0, run.flows_broken)
+        self.assertEqual({}, run.unanswered_by_outcome)
--- a/godwitturn/tests/test_flow_record.py
+++ b/godwitturn/tests/test_flow_record.py
@@ -2,12 +2,12 @@
 
 import unittest
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import flow_record
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
-from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import target_watch
 from godwitturn.protocol import flow_record as codec
 from godwitturn.standins import transparent_simulation
--- a/godwitturn/tests/test_graceful_stop.py
+++ b/godwitturn/tests/test_graceful_stop.py
@@ -2,10 +2,10 @@
 
 import unittest
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import graceful_stop
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
-from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import targets
 
 
--- a/godwitturn/tests/test_mirror.py
+++ b/godwitturn/tests/test_mirror.py
@@ -2,9 +2,9 @@
 
 import unittest
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import mirror
-from godwitturn.core.transparent import store_position
 
 
 def item(key: str, revision: int, value: bytes | None = b"v") -> mirror.Item:
--- a/godwitturn/tests/test_platform_documents.py
+++ b/godwitturn/tests/test_platform_documents.py
@@ -9,8 +9,8 @@
 import hypothesis
 from hypothesis import strategies
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import document_exchange
-from godwitturn.core.transparent import store_position
 from godwitturn.platform import documents
 from godwitturn.protocol import flow_record as flow_records
 
--- a/godwitturn/tests/test_platform_store.py
+++ b/godwitturn/tests/test_platform_store.py
@@ -6,9 +6,9 @@
 from typing import Any
 import unittest
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import mirror
 from godwitturn.core.transparent import registration
-from godwitturn.core.transparent import store_position
 from godwitturn.daemons import http_client
 from godwitturn.daemons import http_server
 from godwitturn.daemons import reactor
--- a/godwitturn/tests/test_store_restore.py
+++ b/godwitturn/tests/test_store_restore.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from godwitturn.core.transparent import store_position
+from godwitturn.core import store_position
 from godwitturn.platform import documents
 from godwitturn.standins import platform_store_model
 from godwitturn.standins import store_readers
--- a/godwitturn/tests/test_transparent_balancer.py
+++ b/godwitturn/tests/test_transparent_balancer.py
@@ -2,12 +2,12 @@
 
 import unittest
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import segments
-from godwitturn.core.transparent import store_position
 from godwitturn.standins import transparent_simulation
 
 AGENTS = ("10.0.0.1", "10.0.0.2")
--- a/godwitturn/tests/test_transparent_messages.py
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -6,8 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import messages
-from godwitturn.core.transparent import store_position
 from godwitturn.protocol import transparent
 
 POSITION = store_position.StorePosition(2, 12)
--- a/godwitturn/tests/test_transparent_targets.py
+++ b/godwitturn/tests/test_transparent_targets.py
@@ -4,8 +4,8 @@
 import random
 import unittest
 
+from godwitturn.core import store_position
 from godwitturn.core.transparent import messages
-from godwitturn.core.transparent import store_position
 from godwitturn.core.transparent import targets
 
 READY = messages.TargetState.READY
