Drop openings that waited for a suspended process

Cause: an agent or balancer that was suspended takes the openings that arrived meanwhile seconds late, after copies of them went to other targets. Balancers that did not know the flow then followed whichever target reported it last.

Ruled out: an overdue tick as the sign, since a slow process has it too and would then drop what it can still serve.

Change: the event loop notices a suspension by a wait that takes 0.5 s longer than asked for. Datagrams that its sockets find then are marked with the time that they may have waited. Agents drop openings that may be older than 0.5 s, balancers those older than 1 s, since routers send copies elsewhere by then; clients repeat them. A queued opening over which an agent was suspended is dropped as well.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -28,6 +28,10 @@
 # Number of deliveries kept in case the target returns their packets, which it
 # does within milliseconds. The table of untracked flows has the same limit.
 MAX_DELIVERIES = 1024
+# A balancer offers a copy of an opening to another target 200 ms after the
+# first one. An opening that may have waited longer for a suspended process is
+# dropped, so that a flow has one target.
+MAX_OPENING_DELAY_S = 0.5
 # Minimum time between two fetches of the operators' documents. Agents keep a
 # copy for balancers that restart while the store is unavailable; the copy may
 # be some seconds old.
@@ -292,12 +296,21 @@
         segment: segments.Segment,
         *,
         now: float,
+        delay_s: float = 0.0,
     ) -> list[messages.Action]:
         """Delivers a client's packet to the target.
 
         An opening may be queued or refused instead. A packet whose flow isn't
         open at the target is sent back to the balancer. If the packet was
         sent to search for the flow, the flow is reported as absent.
+
+        Args:
+            balancer: The balancer that forwarded the packet.
+            forward: Its message.
+            segment: The packet.
+            now: Seconds.
+            delay_s: Longest time in seconds that the message may have waited
+                here for a suspended process.
         """
         self.subscribers.record_seen(balancer, now=now)
         delivery = Delivery(balancer, forward, segment, now)
@@ -310,6 +323,9 @@
                 self.work_limiter.finish(segment.flow_id)
             return [self._deliver(delivery, now=now)]
         if segment.opening:
+            if delay_s > MAX_OPENING_DELAY_S:
+                self.count("outdated_openings")
+                return []
             return self._admit(delivery, now=now)
         if self._tracks_all_flows_of(forward.service):
             return [_flow_absent(delivery)]
@@ -463,7 +479,11 @@
                     break
                 reason = messages.Refusal.COLD
             del self._waiting_by_id[flow_id]
-            if reason is not None:
+            if waited_s > cold_limit.MAX_WAIT_S + MAX_OPENING_DELAY_S:
+                # The process was suspended while the opening waited.
+                self.count("outdated_openings")
+                self.subscribers.update_pending = True
+            elif reason is not None:
                 actions += self._refuse(opening, reason)
             else:
                 actions += self._open(opening, now=now)
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -31,6 +31,10 @@
 # Clients repeat an opening after 200 ms. If the agent hasn't replied within
 # this time, the repeated opening is offered to another target.
 OPENING_TIMEOUT_S = 0.15
+# Routers send a client's copies of an opening to other balancers once they
+# have missed this balancer's answers twice, so an opening that may be this old
+# may have reached a target through another balancer.
+MAX_OPENING_DELAY_S = 1.0
 # Largest number of targets that an opening is offered to.
 MAX_TRIES = 4
 CACHE_SWEEP_INTERVAL_S = 5.0
@@ -225,10 +229,20 @@
     # Packets of clients.
 
     def handle_packet(
-        self, segment: segments.Segment, *, now: float
+        self, segment: segments.Segment, *, now: float, delay_s: float = 0.0
     ) -> list[messages.Action]:
-        """Forwards a client's packet."""
+        """Forwards a client's packet.
+
+        Args:
+            segment: The packet.
+            now: Seconds.
+            delay_s: Longest time in seconds that it may have waited here for a
+                suspended process.
+        """
         flow = self.cache.flow_by_id.get(segment.flow_id)
+        if segment.opening and flow is None and delay_s > MAX_OPENING_DELAY_S:
+            self.count("outdated_openings")
+            return []
         if flow is not None:
             flow.used_at = now
         if segment.opening:
--- a/godwitturn/daemons/reactor.py
+++ b/godwitturn/daemons/reactor.py
@@ -13,6 +13,9 @@
 import socket
 import time
 
+# If waiting for sockets takes this much longer than asked for, the process was
+# suspended.
+SUSPENSION_THRESHOLD_S = 0.5
 # Longest wait for sockets. It bounds the delay of a signal's callback, because
 # a signal does not end the wait.
 MAX_WAIT_S = 0.1
@@ -41,11 +44,15 @@
 
     Attributes:
         now: Time of `clock` at which the loop last finished waiting.
+        resumed_at: Value of `now` after the last suspension of the process.
+        suspended_s: How long that suspension lasted at least.
         stopped: Whether `run` has to return; callbacks set it.
     """
 
     def __init__(self) -> None:
         self.now = clock()
+        self.resumed_at = float("-inf")
+        self.suspended_s = 0.0
         self.stopped = False
         self._selector = selectors.DefaultSelector()
         # Heap of due times, numbers and timers. The numbers order timers that
@@ -101,11 +108,19 @@
     def run(self) -> None:
         """Runs until `stopped` is set."""
         while not self.stopped:
+            waited_from = clock()
             wait_s = MAX_WAIT_S
             if self._timers:
-                wait_s = min(wait_s, max(0.0, self._timers[0][0] - clock()))
+                wait_s = min(
+                    wait_s, max(0.0, self._timers[0][0] - waited_from)
+                )
             ready = self._selector.select(wait_s)
             self.now = clock()
+            overslept_s = self.now - waited_from - wait_s
+            if overslept_s > SUSPENSION_THRESHOLD_S:
+                self.resumed_at, self.suspended_s = self.now, overslept_s
+                # A wait that a suspension interrupted returns no sockets.
+                ready = self._selector.select(0)
             # Timers run first: they detect a suspension of the VM before
             # packets are handled with outdated state.
             while self._timers and self._timers[0][0] <= self.now:
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -272,7 +272,11 @@
                 if segment is not None:
                     self.perform(
                         self.core.handle_forward(
-                            sender, message, segment, now=now
+                            sender,
+                            message,
+                            segment,
+                            now=now,
+                            delay_s=self.peer_channel.delay_s,
                         )
                     )
             case messages.FlowQuery():
--- a/godwitturn/platform/balancer.py
+++ b/godwitturn/platform/balancer.py
@@ -190,7 +190,13 @@
         """Handles a datagram from a router."""
         segment = self.decode_client_packet(data, sender)
         if segment is not None:
-            self.perform(self.core.handle_packet(segment, now=self.loop.now))
+            self.perform(
+                self.core.handle_packet(
+                    segment,
+                    now=self.loop.now,
+                    delay_s=self.client_socket.delay_s,
+                )
+            )
 
     def handle_message(self, sender: str, message: messages.Message) -> None:
         """Handles a message from another daemon."""
--- a/godwitturn/platform/channels.py
+++ b/godwitturn/platform/channels.py
@@ -18,7 +18,12 @@
 
 
 class DatagramSocket:
-    """A bound UDP socket that passes received datagrams to a callback."""
+    """A bound UDP socket that passes received datagrams to a callback.
+
+    Attributes:
+        delay_s: Longest time in seconds that the datagram passed last may have
+            waited for a suspended process, 0 if the process was running.
+    """
 
     def __init__(
         self,
@@ -26,6 +31,8 @@
         address: tuple[str, int],
         on_datagram: Callable[[bytes, str], None],
     ) -> None:
+        self.delay_s = 0.0
+        self._loop = loop
         self._on_datagram = on_datagram
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(
@@ -33,7 +40,18 @@
         )
         self._socket.bind(address)
         self._socket.setblocking(False)
-        loop.watch(self._socket, selectors.EVENT_READ, self._read)
+        loop.watch(self._socket, selectors.EVENT_READ, self.read)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP address and port that the socket is bound to."""
+        host, port = self._socket.getsockname()
+        return host, port
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._loop.unwatch(self._socket)
+        self._socket.close()
 
     def send(self, data: bytes, address: tuple[str, int]) -> None:
         """Sends a datagram; one that can't be sent is dropped."""
@@ -42,11 +60,15 @@
         except OSError:
             return  # full buffer or no route; important messages are repeated
 
-    def _read(self) -> None:
+    def read(self) -> None:
+        """Reads the datagrams that have arrived, up to a limit."""
+        if self._loop.resumed_at == self._loop.now:
+            self.delay_s = self._loop.suspended_s
         for _ in range(MAX_DATAGRAMS_PER_READ):
             try:
                 data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError:
+                self.delay_s = 0.0
                 return
             self._on_datagram(data, sender[0])
 
@@ -66,6 +88,11 @@
         self._on_malformed = on_malformed
         self._socket = DatagramSocket(loop, address, self._handle_datagram)
 
+    @property
+    def delay_s(self) -> float:
+        """See `DatagramSocket.delay_s`."""
+        return self._socket.delay_s
+
     def send(self, address: str, message: messages.Message) -> None:
         """Sends a message to a daemon; it may be lost."""
         self._socket.send(transparent.encode(message), (address, self._port))
