End searches that only lost agents could answer

Cause: a flow that is not cached is searched at all agents and reset when all that are not lost have replied that they don't have it. That was decided only with a reply. When the last agents without a reply were lost afterwards, nothing decided any more: each repetition of the client's packet asked the same lost agents again, then none.

Ruled out: agents that live but don't know (they reply by their target's returned packet), balancers without configuration (applied by 37.9 s).

Change: whether a search still awaits replies is decided in one place, with a reply, with the flow's next packet, and at the tick at which another agent is lost.

--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -90,6 +90,7 @@
         factory=dict
     )
     _early_packets: list[segments.Segment] = attrs.field(factory=list)
+    _lost_agents: frozenset[str] = frozenset()
     _ticked_at: float | None = None
     _statuses_sent_at: float = float("-inf")
     _swept_at: float = 0.0
@@ -471,6 +472,8 @@
         earlier = self.cache.search_by_id.get(segment.flow_id)
         if earlier is not None:
             agents = earlier.restart(agents, segment, now=now)
+            if not self._awaits_replies(earlier, now=now):
+                return self._reset(segment, "flow_unknown")
         else:
             self.cache.search_by_id[segment.flow_id] = flow_cache.Search(
                 set(agents), set(agents), now, segment
@@ -695,15 +698,42 @@
         if search is None or flow_id in self.cache.flow_by_id:
             return []
         search.pending.discard(sender)
-        pending = [
-            agent
-            for agent in search.pending
-            if not self._is_lost(agent, now=now)
-        ]
-        if pending or self._agents_incomplete(now):
+        if self._awaits_replies(search, now=now):
             return []
         return self._reset(search.segment, "flow_unknown")
 
+    def _awaits_replies(
+        self, search: flow_cache.Search, *, now: float
+    ) -> bool:
+        """Returns whether an agent may still reply that it has the flow."""
+        if self._agents_incomplete(now):
+            return True
+        return not all(
+            self._is_lost(agent, now=now) for agent in search.pending
+        )
+
+    def _end_searches(self, *, now: float) -> list[messages.Action]:
+        """Resets searched flows that only lost agents could have.
+
+        A client that isn't told waits for its deadline. Searches change with
+        replies and packets, which have been handled, so only an agent that is
+        newly lost or removed ends others.
+        """
+        lost = frozenset(
+            agent
+            for agent in self.target_table.target_by_address
+            if self._is_lost(agent, now=now)
+        )
+        is_any_gone = bool(lost - self._lost_agents)
+        self._lost_agents = lost
+        if not is_any_gone:
+            return []
+        actions: list[messages.Action] = []
+        for search in list(self.cache.search_by_id.values()):
+            if not self._awaits_replies(search, now=now):
+                actions += self._reset(search.segment, "flow_unknown")
+        return actions
+
     def _handle_announcement(
         self,
         sender: str,
@@ -793,6 +823,8 @@
                 ready=self.ready(now=now),
                 now=now,
             )
+        if self.cache.search_by_id:
+            actions += self._end_searches(now=now)
         if now - self._swept_at >= CACHE_SWEEP_INTERVAL_S:
             self._swept_at = now
             self.cache.sweep(now=now)
