Simplify how a control node packs what it has read

Found on reading the change: the position was built twice by copying, the reader had a default for the present time, and a docstring promised more than the search of lost agents does.

--- a/godwitturn/core/distribution.py
+++ b/godwitturn/core/distribution.py
@@ -221,32 +221,28 @@
         if snapshot is None:
             return
         read, newest = snapshot
-        position = self.configuration.position
+        known = self.configuration.position
+        era = known.era
         if event.is_complete and self.reader.shows_restore(
             event, self.configuration, now=now
         ):
-            lost, position = (
-                position,
-                attrs.evolve(position, era=position.era + 1),
-            )
+            era += 1
             self._emit(
                 events.EventId.CONTROL_STORE_RESTORED,
-                era=position.era,
-                known_revision=lost.revision,
+                era=era,
+                known_revision=known.revision,
                 read_revision=event.revision,
             )
+
+        def version_of(revision: int) -> int:
+            return store_position.StorePosition(era, revision).packed
+
         documents_read = tuple(
-            attrs.evolve(
-                document,
-                revision=attrs.evolve(
-                    position, revision=document.revision
-                ).packed,
-            )
+            attrs.evolve(document, revision=version_of(document.revision))
             for document in read
         )
-        version = 0
-        if event.revision > 0:
-            version = attrs.evolve(position, revision=newest).packed
+        # A read of single documents leads to no version.
+        version = version_of(newest) if event.revision > 0 else 0
         self._merge(documents_read, version, now, also_kept=event.malformed)
 
     def _restart_reader(self, now: float) -> None:
--- a/godwitturn/core/store_reader.py
+++ b/godwitturn/core/store_reader.py
@@ -76,7 +76,7 @@
             self._era_began_at = now
 
     def snapshot_of(
-        self, event: control_events.DocumentsRead, *, now: float = math.inf
+        self, event: control_events.DocumentsRead, *, now: float
     ) -> tuple[tuple[configurations.VersionedDocument, ...], int] | None:
         """Returns the documents to merge and the revision they lead to.
 
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -715,18 +715,18 @@
     def _end_searches(self, *, now: float) -> list[messages.Action]:
         """Resets searched flows that only lost agents could have.
 
-        A client that isn't told waits for its deadline. Searches change with
-        replies and packets, which have been handled, so only an agent that is
-        newly lost or removed ends others.
+        A client that isn't told waits for its deadline. Replies and packets
+        of a flow end its search where they are handled, so only a newly lost
+        agent can end others.
         """
         lost = frozenset(
             agent
             for agent in self.target_table.target_by_address
             if self._is_lost(agent, now=now)
         )
-        is_any_gone = bool(lost - self._lost_agents)
+        newly_lost = lost - self._lost_agents
         self._lost_agents = lost
-        if not is_any_gone:
+        if not newly_lost:
             return []
         actions: list[messages.Action] = []
         for search in list(self.cache.search_by_id.values()):
