--- a/godwitturn/standins/control_network.py
+++ b/godwitturn/standins/control_network.py
@@ -18,6 +18,8 @@
 TICK_SECONDS = 0.1
 STORE_POLL_SECONDS = 0.5
 Daemon = fixtures.Daemon
+# Documents by key, and the revision.
+Backup = tuple[dict[str, Any], int]
 
 
 class Network:
@@ -94,13 +96,13 @@
                 daemon.has_unread_documents = True
         return self.revision
 
-    def backup(self) -> tuple[dict[str, Any], int]:
+    def backup(self) -> Backup:
         """Returns the store's documents and revision, for `restore`."""
         return dict(self.documents), self.revision
 
     def restore(
         self,
-        backup: tuple[dict[str, Any], int],
+        backup: Backup,
         *,
         cuts_watches: bool = True,
     ) -> None:
--- a/godwitturn/tests/test_control_restore.py
+++ b/godwitturn/tests/test_control_restore.py
@@ -8,18 +8,26 @@
 from godwitturn.standins import control_network
 
 
+def _start_with_changes_to_lose() -> tuple[
+    control_network.Network, list[fleet.Daemon], control_network.Backup
+]:
+    """Starts a fleet, takes a backup, and changes the rules nine times."""
+    network, daemons = fleet.start(3, 3)
+    network.run(15)
+    backup = network.backup()
+    for number in range(1, 10):
+        network.put("rules", fleet.numbered_rules(number))
+    network.run(5)
+    return network, daemons, backup
+
+
 class TestRestore(unittest.TestCase):
     """Changes after a restore must come into force at all daemons."""
 
     # Guards against control nodes that compare revisions only, although a
     # restored store gives them out again.
     def test_change_after_a_restore_reaches_all_daemons(self) -> None:
-        network, daemons = fleet.start(3, 3)
-        network.run(15)
-        backup = network.backup()
-        for number in range(1, 10):
-            network.put("rules", fleet.numbered_rules(number))
-        network.run(5)
+        network, daemons, backup = _start_with_changes_to_lose()
         network.restore(backup)
         network.run(1)
         rules = fleet.numbered_rules(20)
@@ -43,12 +51,7 @@
     # Guards against watches that wait for a revision that the restored store
     # has yet to give out.
     def test_restore_that_cuts_no_watch_is_noticed(self) -> None:
-        network, daemons = fleet.start(3, 3)
-        network.run(15)
-        backup = network.backup()
-        for number in range(1, 10):
-            network.put("rules", fleet.numbered_rules(number))
-        network.run(5)
+        network, daemons, backup = _start_with_changes_to_lose()
         network.restore(backup, cuts_watches=False)
         network.run(fleet.PROPAGATION_LIMIT_SECONDS)
         self._assert_same_as_store(network, daemons)
