--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -487,20 +487,6 @@
                 actions += self._refuse(opening, reason)
             else:
                 actions += self._open(opening, now=now)
-        return actions + self._refuse_excess(now)
-
-    def _refuse_excess(self, now: float) -> list[messages.Action]:
-        """Refuses the latest queued openings that a cold target can't get.
-
-        They were queued before the target's limit was known.
-        """
-        if self.target.cold_ms(now) <= 0:
-            return []
-        queued = list(self._waiting_by_id)
-        actions: list[messages.Action] = []
-        for flow_id in queued[self.cold_limiter.max_waiting :]:
-            opening = self._waiting_by_id.pop(flow_id)
-            actions += self._refuse(opening, messages.Refusal.COLD)
         return actions
 
     def _refusal_reason(
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -128,10 +128,6 @@
                 )
             ]
         self.configuration = configuration
-        if previous is None:
-            # Agents that have started as well need the limits of their
-            # services, so hellos are due at the next tick.
-            self._hello_at_by_address.clear()
         for endpoint, route in configuration.route_by_endpoint.items():
             services = self._services_by_endpoint.setdefault(endpoint, set())
             services.update(share.service for share in route.shares)
--- a/godwitturn/core/transparent/cold_limit.py
+++ b/godwitturn/core/transparent/cold_limit.py
@@ -19,9 +19,6 @@
 # An opening that can't be admitted within this time is refused. Clients repeat
 # an opening twice and give up after 1.4 s.
 MAX_WAIT_S = 0.6
-# Openings queued while the limit isn't known yet. It usually arrives within
-# `MAX_WAIT_S` after the agent's start, and then these are admitted or refused.
-MAX_WAITING_UNKNOWN = 64
 
 
 @attrs.define(eq=False, repr=False)
@@ -78,6 +75,4 @@
 
         More couldn't be admitted within `MAX_WAIT_S`.
         """
-        if self.per_second is None:
-            return MAX_WAITING_UNKNOWN
         return max(1, int(self.per_window * MAX_WAIT_S))
