Determine once which agents may end searches

When an agent was newly lost, each search asked again for each of its pending agents whether that one is lost, which looks at all agents, twice. After a loss of power there are over a thousand searches, in the moment in which balancers have least time. The set of agents that are not lost is known by then; searches are compared with it.

--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -715,18 +715,20 @@
         of a flow end its search where they are handled, so only a newly lost
         agent can end others.
         """
+        known = self.target_table.target_by_address
         lost = frozenset(
-            agent
-            for agent in self.target_table.target_by_address
-            if self._is_lost(agent, now=now)
+            agent for agent in known if self._is_lost(agent, now=now)
         )
         newly_lost = lost - self._lost_agents
         self._lost_agents = lost
-        if not newly_lost:
+        if not newly_lost or self._agents_incomplete(now):
             return []
+        # There may be thousands of searches, so the agents that may reply are
+        # determined once for all of them.
+        alive = known.keys() - lost
         actions: list[messages.Action] = []
         for search in list(self.cache.search_by_id.values()):
-            if not self._awaits_replies(search, now=now):
+            if search.pending.isdisjoint(alive):
                 actions += self._reset(search.segment, "flow_unknown")
         return actions
 
