Let merging tell whether an era has begun

Found on reading the change: a caller of _merge derived again what _merge had just decided, and two tests built the same packet. No change of behaviour; no assertion has changed.

--- a/godwitturn/core/distribution.py
+++ b/godwitturn/core/distribution.py
@@ -277,7 +277,7 @@
         now: float,
         *,
         also_kept: tuple[str, ...] = (),
-    ) -> None:
+    ) -> bool:
         """Merges documents into the configuration.
 
         Args:
@@ -286,11 +286,12 @@
             snapshot: The version that they lead to.
             now: Monotonic time in seconds.
             also_kept: Other documents that a later era doesn't remove.
+
+        Returns:
+            Whether a later era of the store has begun.
         """
-        position = self.configuration.position
-        begins_era = (
-            store_position.StorePosition.unpack(snapshot).era > position.era
-        )
+        era = store_position.StorePosition.unpack(snapshot).era
+        begins_era = era > self.configuration.position.era
         is_any_lost = begins_era and self.configuration.retain(
             {*also_kept, *(document.key for document in received)}
         )
@@ -315,6 +316,7 @@
         if changed or advanced or is_any_lost:
             self.reader.record_view(begins_era=begins_era, now=now)
             self._configuration_changed(now)
+        return begins_era
 
     def _configuration_changed(self, now: float) -> None:
         self.approved = self._verifier.approved_members(self.configuration)
@@ -448,9 +450,7 @@
             attachment.known_version = max(
                 attachment.known_version, delta.snapshot
             )
-        era = self.configuration.position.era
-        self._merge(tuple(received), delta.snapshot, now)
-        if self.configuration.position.era > era:
+        if self._merge(tuple(received), delta.snapshot, now):
             # What this daemon's own reads of the store deliver next may still
             # be of the earlier era.
             self._restart_reader(now)
--- a/godwitturn/tests/test_suspension.py
+++ b/godwitturn/tests/test_suspension.py
@@ -30,8 +30,10 @@
 FLOW_ID = test_transparent_balancer.FLOW_ID
 
 
-def _packet(flags: int) -> tuple[bytes, segments.Segment]:
-    packet = transparent_simulation.packet(FLOW_ID, flags)
+def _packet(
+    flags: int, flow_id: segments.FlowId = FLOW_ID
+) -> tuple[bytes, segments.Segment]:
+    packet = transparent_simulation.packet(flow_id, flags)
     return packet, transparent_simulation.client_segment(packet)
 
 
@@ -92,11 +94,9 @@
     """A balancer must not offer an opening that others have forwarded."""
 
     def _offers(self, flow_number: int, delay_s: float) -> bool:
-        flow_id = (flow_number, *FLOW_ID[1:])
-        packet = transparent_simulation.packet(
-            flow_id, transparent_simulation.SYN
+        _, segment = _packet(
+            transparent_simulation.SYN, (flow_number, *FLOW_ID[1:])
         )
-        segment = transparent_simulation.client_segment(packet)
         actions = self.balancer.handle_packet(
             segment, now=10.3, delay_s=delay_s
         )
