--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,8 +17,8 @@
     COLD_PER_S * standins.BOUNDS["cold_overshoot"]
     + standins.BOUNDS["cold_slack"]
 )
-NEW_ENDPOINTS = 4
-ROUND_S = 5.0
+NEW_ENDPOINTS = 7
+ROUND_S = 3.0
 SHORT_FLOWS_PER_S = 40.0
 SESSIONS = 40
 
@@ -116,6 +116,10 @@
             deployment.start_daemon(agent)
             await start_endpoint(agent, cold=True)
         await asyncio.sleep(ROUND_S)
+        if trouble:
+            # It leaves again, so that the next one finds the same load.
+            await deployment.endpoints[-1].leave()
+            await deployment.stop_daemon(agent)
     for task in traffic:
         task.cancel()
     deployment.record.write(f"answered {counts[1]}, not answered {counts[0]}")
--- a/review/standins.py
+++ b/review/standins.py
@@ -497,6 +497,7 @@
         self.cold_until = 0.0
         self.started_at = 0.0
         self.running = False
+        self.state = "ready"
         self.arrivals: list[Arrival] = []
         self.ran: list[str] = []
         self.open_flows: set[FlowKey] = set()
@@ -550,6 +551,21 @@
         self.deployment.record.write(f"{self.name} crashes")
         await asyncio.sleep(0)
 
+    async def leave(self) -> None:
+        """Drains, says that it leaves, and ends."""
+        self.state = "draining"
+        if self._task is not None:
+            self._task.cancel()
+        self._task = asyncio.create_task(self._send_heartbeats())
+        await asyncio.sleep(BOUNDS["drain_ms"] / 1000 + 0.2)
+        status = await http_call(
+            (self.address, CONTROL_PORT),
+            "DELETE",
+            f"/instances/i-{self.name}-{self._starts}",
+        )
+        self.deployment.record.write(f"{self.name} leaves -> {status}")
+        await self.crash()
+
     def become_cold(self) -> None:
         """Makes the endpoint cold; its next heartbeat says so."""
         self.cold_until = self.deployment.record.now() + self.cold_start_s
@@ -575,7 +591,7 @@
                 "zone": self.zone,
                 "version": "v1",
                 "slots": self.slots,
-                "state": "ready",
+                "state": self.state,
                 "cold_remaining_ms": round(1000 * cold_s),
                 "sequence": self._beats,
                 "born": self._born,
@@ -634,8 +650,9 @@
 
     def _take_request(self, flow: FlowKey, packet: Packet) -> None:
         earlier = self._answer_by_flow.get(flow)
-        if earlier is not None and earlier[0] == packet.sequence:
-            if earlier[1]:
+        if earlier is not None and packet.sequence <= earlier[0]:
+            # A copy of this request, or a late one of an earlier request.
+            if earlier[1] and packet.sequence == earlier[0]:
                 self._send(flow, ACK, packet.acknowledged, earlier[1])
             return
         self._answer_by_flow[flow] = (packet.sequence, b"")
@@ -972,6 +989,18 @@
         await asyncio.sleep(RESTART_DELAY_S)
         self.start_daemon(daemon)
 
+    async def stop_daemon(self, daemon: Daemon) -> None:
+        """Ends a daemon by SIGTERM, then by SIGKILL, for good."""
+        process = daemon.process
+        assert process is not None
+        process.send_signal(signal.SIGTERM)
+        deadline = time.monotonic() + BOUNDS["grace_s"]
+        while process.poll() is None and time.monotonic() < deadline:
+            await asyncio.sleep(0.01)
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+
     async def configure(
         self,
         routes: list[dict[str, Any]],
