--- a/review/parts_2/endpoint.py
+++ b/review/parts_2/endpoint.py
@@ -51,12 +51,14 @@
         places: dict[str, tuple[str, int]],
         work_s: float = 0.015,
         slots: int = 4,
+        cold_s: float = 0.0,
     ) -> None:
         self.loop, self.name, self.service = loop, name, service
         self.zone, self.places = zone, places
         self.work_s, self.slots = work_s, slots
         self.alive = True
         self.state = "ready"
+        self.cold_until = loop.now + cold_s
         self.born = int(time.time() * 1000)
         self.sequence = itertools.count(1)
         self.runs: dict[str, int] = {}
@@ -123,7 +125,9 @@
                 "version": "v1",
                 "slots": self.slots,
                 "state": state,
-                "cold_remaining_ms": 0,
+                "cold_remaining_ms": max(
+                    0, round(1000 * (self.cold_until - self.loop.now))
+                ),
                 "sequence": next(self.sequence),
                 "born": self.born,
             }
@@ -153,6 +157,8 @@
         self.alive = False
         self.wake.set()
         self.loop.close(self.socket)
+        # Otherwise the call to accept would go on listening.
+        self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         self.flows.clear()
 
--- a/review/parts_2/fleet.py
+++ b/review/parts_2/fleet.py
@@ -199,6 +199,7 @@
         version: int,
         routes: list[tuple[str, tuple[str, int], str, str]],
         services: list[str],
+        cold_per_s: dict[str, float] | None = None,
     ) -> float:
         """Writes a configuration; returns when it was acknowledged."""
         document = {
@@ -225,7 +226,7 @@
                     "protocol": "h1",
                     "tls": False,
                     "cold_start_s": 2.0,
-                    "cold_per_s": 0.0,
+                    "cold_per_s": (cold_per_s or {}).get(service, 0.0),
                 }
                 for service in services
             ],
--- a/review/parts_2/scene.py
+++ b/review/parts_2/scene.py
@@ -44,11 +44,17 @@
             self.edges_by_zone.setdefault(zone, []).append(address)
             fleet.add(name, "balancer", address, zone)
 
-    def add_side(self, zone: str, service: str) -> endpoints.Endpoint:
+    def add_side(
+        self,
+        zone: str,
+        service: str,
+        address: str = "",
+        cold_s: float = 0.0,
+    ) -> endpoints.Endpoint:
         """Starts an agent with its endpoint."""
         self.count += 1
         third = ZONES.index(zone) + 1
-        address = self.fleet.address(third, 20 + self.count)
+        address = address or self.fleet.address(third, 20 + self.count)
         name = f"side-{zone}-{self.count}"
         endpoint = endpoints.Endpoint(
             self.loop,
@@ -56,6 +62,7 @@
             service,
             zone,
             self.fleet.places(address),
+            cold_s=cold_s,
         )
         self.endpoints.append(endpoint)
         self.agent_of[endpoint.name] = name
