--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,8 +3,8 @@
 import pathlib
 import time
 
-from review.parts_2 import fleet as fleets
-from review.parts_2 import scene as scenes
+from parts import fleet as fleets
+from parts import scene as scenes
 
 SERVICE = "core"
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # this compiles them and stops at the first error.
 set -eu
 cd "$(dirname "$0")/.."
-files="$(find review/parts_2 review/[6-9] review/10 -name '*.py' 2>/dev/null || true)"
+files="$(find review/[6-9] review/10 -name '*.py' 2>/dev/null || true)"
 for file in $files; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
