Refuse heartbeats of which a field is missing

Cause: decode_heartbeat read only the fields that the agent uses, and took 0 for a missing start or cold time. The decoded heartbeat had another id and a later start, so TargetWatch took it for a restart of the target. The agent dropped its table of flows and announced another incarnation, at which all balancers reset the flows.

Evidence: the target_state event of the foreign id with restarted, followed by flow_reset with reason target_ended at all balancers.

Change: every field is required and checked. The heartbeat is refused with 400 and logged as malformed_heartbeat with the field, its value and what is allowed; nothing that was known of the target changes.

Before: TestForeignHeartbeats and test_heartbeat_without_a_field_is_refused fail (the client gets a reset; five fields may be missing).

--- a/godwitturn/platform/documents.py
+++ b/godwitturn/platform/documents.py
@@ -119,36 +119,40 @@
 def decode_heartbeat(target_id: str, data: bytes) -> heartbeats.Heartbeat:
     """Decodes a target's heartbeat.
 
+    Targets state every field in each heartbeat, so one without a field is of
+    another writer.
+
     Raises:
-        MalformedError: If it can't be decoded, or its state is unknown.
+        MalformedError: If it can't be decoded, a field is missing or of
+            another type, or its state is unknown.
     """
     document = json_values.load(data)
     try:
-        state = document["state"]
+        state = document.get("state")
         if state not in (_READY, _DRAINING):
             raise MalformedError(
                 f"heartbeat: state is {state!r}; "
                 f"allowed: {_READY!r}, {_DRAINING!r}"
             )
+        for name in ("address", "zone", "version"):
+            json_values.text(document.get(name), name)
         return heartbeats.Heartbeat(
             target_id=json_values.text(target_id, "id"),
-            born=_get_integer(document, "born", 0),
+            born=_get_integer(document, "born"),
             sequence=_get_integer(document, "sequence"),
-            service=json_values.text(document["service"], "service"),
+            service=json_values.text(document.get("service"), "service"),
             draining=state == _DRAINING,
             slots=_get_integer(document, "slots"),
-            cold_ms=_get_integer(document, "cold_remaining_ms", 0),
+            cold_ms=_get_integer(document, "cold_remaining_ms"),
         )
     except MalformedError:
         raise
-    except (TypeError, KeyError, AttributeError) as exc:
+    except (TypeError, AttributeError) as exc:
         raise MalformedError(f"heartbeat: {exc!r}") from exc
 
 
-def _get_integer(
-    document: dict[str, Any], name: str, default: int | None = None
-) -> int:
-    return json_values.integer(document.get(name, default), name)
+def _get_integer(document: dict[str, Any], name: str) -> int:
+    return json_values.integer(document.get(name), name)
 
 
 def encode_documents(copy: document_exchange.Documents) -> bytes:
--- a/godwitturn/soak/targets.py
+++ b/godwitturn/soak/targets.py
@@ -193,6 +193,8 @@
         draining = instance.draining_at is not None
         document = platform_messages.heartbeat(
             instance.service,
+            address=self._member.address,
+            data_centre=self._member.data_centre,
             sequence=self._sequence,
             born=round(1000 * instance.started_at),
             slots=SLOTS,
--- a/godwitturn/standins/platform_messages.py
+++ b/godwitturn/standins/platform_messages.py
@@ -56,6 +56,8 @@
 def heartbeat(
     service: str,
     *,
+    address: str,
+    data_centre: str,
     sequence: int,
     born: int,
     slots: int = 1,
@@ -66,6 +68,8 @@
 
     Args:
         service: Service of the target.
+        address: IP address of its VM.
+        data_centre: Data centre of the VM.
         sequence: Number of the heartbeat.
         born: Start time of the target in milliseconds.
         slots: Number of requests that it runs at the same time.
@@ -74,6 +78,9 @@
     """
     return {
         "service": service,
+        "address": f"{address}:{TARGET_PORT}",
+        "zone": data_centre,
+        "version": "v1",
         "slots": slots,
         "state": "draining" if draining else "ready",
         "cold_remaining_ms": cold_ms,
--- a/godwitturn/tests/program_case.py
+++ b/godwitturn/tests/program_case.py
@@ -221,16 +221,32 @@
             self.balancer_address, platform_messages.READY_PORT, "/ready"
         )[0]
 
-    def send_heartbeat(self, **changes: Any) -> int:
-        """Sends a heartbeat of the target and returns the answer's status."""
+    def send_heartbeat(self, target_id: str = "i-1", **changes: Any) -> int:
+        """Sends a heartbeat and returns the answer's status.
+
+        Args:
+            target_id: Id of its writer, by default that of the target.
+            changes: Fields that differ from the target's; those that are None
+                are left out.
+        """
         fields = {
-            **platform_messages.heartbeat(SERVICE, sequence=1, born=17),
+            **platform_messages.heartbeat(
+                SERVICE,
+                address=self.agent_address,
+                data_centre="a",
+                sequence=1,
+                born=17,
+            ),
             **changes,
         }
+        for name in [name for name, value in fields.items() if value is None]:
+            del fields[name]
         connection = http.client.HTTPConnection(
             self.agent_address, platform_messages.CONTROL_PORT, timeout=2.0
         )
-        connection.request("PUT", "/instances/i-1", json.dumps(fields))
+        connection.request(
+            "PUT", f"/instances/{target_id}", json.dumps(fields)
+        )
         status = connection.getresponse().status
         connection.close()
         return status
--- a/godwitturn/tests/test_platform_documents.py
+++ b/godwitturn/tests/test_platform_documents.py
@@ -108,6 +108,10 @@
             {"slots": None},
             {"service": 5},
             {"born": 1.5},
+            {"address": 8165},
+            {"zone": None},
+            {"version": ["v1"]},
+            {"cold_remaining_ms": "0"},
         )
         for change in changes:
             with (
@@ -117,6 +121,18 @@
                 data = json.dumps({**HEARTBEAT, **change}).encode()
                 documents.decode_heartbeat("i-1", data)
 
+    # Guards against a heartbeat of another writer that counts as a restart of
+    # the target, whose flows are then reset.
+    def test_heartbeat_without_a_field_is_refused(self) -> None:
+        for name in HEARTBEAT:
+            rest = {**HEARTBEAT}
+            del rest[name]
+            with (
+                self.subTest(name),
+                self.assertRaisesRegex(documents.MalformedError, name),
+            ):
+                documents.decode_heartbeat("i-1", json.dumps(rest).encode())
+
     @hypothesis.given(strategies.binary(max_size=40))
     def test_random_bytes(self, data: bytes) -> None:
         with self.assertRaises(documents.MalformedError):
--- a/godwitturn/tests/test_platform_store_faults.py
+++ b/godwitturn/tests/test_platform_store_faults.py
@@ -2,8 +2,10 @@
 
 import http.client
 import time
+from typing import Any
 
 from godwitturn.platform import documents
+from godwitturn.platform import program
 from godwitturn.standins import platform_messages
 from godwitturn.standins import platform_store_model
 from godwitturn.standins import transparent_simulation
@@ -148,6 +150,37 @@
         self.assertIsNone(agent.poll())
 
 
+class TestForeignHeartbeats(program_case.ProgramCase):
+    """A heartbeat of another writer must not touch the agent's target."""
+
+    def assert_flow_survives(self, status: int, **changes: Any) -> None:
+        """Sends another writer's heartbeat while a flow is open.
+
+        Args:
+            status: Expected status of the answer.
+            changes: Fields that differ from the target's own heartbeat.
+        """
+        self.start_both()
+        self.send_heartbeat()
+        self.open_flow()
+        self.exchange(transparent_simulation.ACK, b"request")
+        answered = self.send_heartbeat("i-other", born=18, **changes)
+        segment = self.exchange(transparent_simulation.ACK, b"further")
+        self.assertTrue(segment.data.endswith(b"answer"), segment)
+        self.assertEqual(status, answered)
+        self.assertEqual(200, self.send_heartbeat(sequence=2))
+        time.sleep(2 * program.LOG_FLUSH_INTERVAL_S)
+        self.assertFalse(self.logged("balancer", "flow_reset"))
+
+    # Guards against an incomplete heartbeat that counts as a restart of the
+    # target: all flows that were open there were reset.
+    def test_heartbeat_without_fields_resets_no_flow(self) -> None:
+        self.assert_flow_survives(
+            400, address=None, zone=None, version=None, cold_remaining_ms=None
+        )
+        self.assertTrue(self.logged("agent", "malformed_heartbeat"))
+
+
 class TestRestoredStore(program_case.ProgramCase):
     """A store that was restored from a backup gives out revisions again."""
 
