Ignore heartbeats of targets at other addresses

Callers would see the same as with an incomplete heartbeat: a heartbeat that is whole, but of a target on another VM, reset all flows that were open at the agent's own target.

Cause: the agent knows from its settings where its target receives packets, but heartbeats weren't compared with that. A later start of any target of the service replaced the agent's own one. Its answer also acknowledged a drain that this agent can't put into force.

Evidence: with the comparison removed, test_heartbeat_of_another_address of the real programs gets a reset in place of an answer, and that of TargetWatch fails.

Change: the address is decoded and compared; a heartbeat of another one is logged as heartbeat_ignored with reason address and answered with 404, which is no acknowledgement. The service is still compared first.

Not changed: a heartbeat that is whole and names the target's own address counts as the target's, whatever its id. An agent can't tell it from a restart.

--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -170,7 +170,9 @@
 def measure_agent(flow_count: int) -> None:
     """Prints the processor time of requests and announcements at an agent."""
     node = transparent_simulation.make_agent(cold_per_second=None)
-    heartbeat = heartbeats.Heartbeat("i-1", 1, 1, "core", False, 1, 0)
+    heartbeat = heartbeats.Heartbeat(
+        "i-1", 1, 1, "core", False, 1, 0, transparent_simulation.TARGET_ADDRESS
+    )
     node.handle_heartbeat(heartbeat, now=NOW)
     for number in range(flow_count):
         node.flows.flow_by_id[flow_of(number)] = agent_flows.Flow(
--- a/godwitturn/core/transparent/heartbeats.py
+++ b/godwitturn/core/transparent/heartbeats.py
@@ -20,6 +20,7 @@
         draining: Whether the target is draining and must get no new flows.
         slots: Requests that the target can run at the same time.
         cold_ms: Milliseconds for which the target stays cold.
+        address: IP address and port where the target receives packets.
     """
 
     target_id: str
@@ -29,6 +30,7 @@
     draining: bool
     slots: int
     cold_ms: int
+    address: tuple[str, int]
 
     @property
     def incarnation(self) -> str:
--- a/godwitturn/core/transparent/target_watch.py
+++ b/godwitturn/core/transparent/target_watch.py
@@ -38,6 +38,7 @@
         CHANGED: Same start, another state.
         RESTARTED: Another start, or the first heartbeat.
         OTHER_SERVICE: Heartbeat of another service's target.
+        OTHER_ADDRESS: Heartbeat of a target at another address.
         EARLIER_START: Late heartbeat of an earlier start.
         LATE: Repeated or older heartbeat of the same start.
     """
@@ -46,12 +47,18 @@
     CHANGED = "changed"
     RESTARTED = "restarted"
     OTHER_SERVICE = "service"
+    OTHER_ADDRESS = "address"
     EARLIER_START = "earlier_start"
     LATE = "late"
 
 
 IGNORED_VERDICTS = frozenset(
-    {Verdict.OTHER_SERVICE, Verdict.EARLIER_START, Verdict.LATE}
+    {
+        Verdict.OTHER_SERVICE,
+        Verdict.OTHER_ADDRESS,
+        Verdict.EARLIER_START,
+        Verdict.LATE,
+    }
 )
 
 
@@ -61,6 +68,7 @@
 
     Attributes:
         service: The service that the target must belong to.
+        address: IP address and port where the target receives packets.
         heartbeat: The newest heartbeat, None before the first.
         heartbeat_at: When the newest heartbeat arrived.
         state: State of the target.
@@ -72,6 +80,7 @@
     """
 
     service: str
+    address: tuple[str, int]
     heartbeat: heartbeats.Heartbeat | None = None
     heartbeat_at: float = 0.0
     state: messages.TargetState = messages.TargetState.UNKNOWN
@@ -145,6 +154,8 @@
         newest = self.heartbeat
         if heartbeat.service != self.service:
             return Verdict.OTHER_SERVICE
+        if heartbeat.address != self.address:
+            return Verdict.OTHER_ADDRESS
         if newest is None:
             return Verdict.RESTARTED
         if heartbeat.incarnation == newest.incarnation:
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -39,7 +39,6 @@
                 f"{settings.from_target!r}; expected IP:PORT for an agent"
             )
         super().__init__(settings, tick_s=agents.TICK_S)
-        self.target = settings.target
         self.core = agents.Agent(
             node=settings.node,
             service=settings.service,
@@ -50,7 +49,7 @@
                 settings.cold_slack,
                 started_at=self.loop.now,
             ),
-            target=target_watch.TargetWatch(settings.service),
+            target=target_watch.TargetWatch(settings.service, settings.target),
             fetcher=document_exchange.DocumentFetcher(
                 settings.node, interval_s=agents.FETCH_INTERVAL_S
             ),
@@ -102,7 +101,7 @@
         self.core.cold_limiter.overshoot = settings.cold_overshoot
         self.core.cold_limiter.slack = settings.cold_slack
         if settings.target is not None:
-            self.target = settings.target
+            self.core.target.address = settings.target
 
     def documents_copy(self) -> document_exchange.Documents:
         """Returns this daemon's copy of the operators' documents."""
@@ -313,11 +312,13 @@
             match action:
                 case messages.Deliver(data, tag):
                     self.target_socket.send(
-                        packets.with_tag(data, tag), self.target
+                        packets.with_tag(data, tag), self.core.target.address
                     )
                 case messages.ProbeTarget():
                     channels.probe(
-                        self.loop, self.target, self.handle_target_unreachable
+                        self.loop,
+                        self.core.target.address,
+                        self.handle_target_unreachable,
                     )
         super().perform(actions)
 
@@ -346,6 +347,9 @@
             self.log_event("malformed_heartbeat", id=target_id, error=str(exc))
             return 400, b"{}"
         self.perform(self.core.handle_heartbeat(heartbeat, now=now))
+        if heartbeat.address != self.core.target.address:
+            # Its writer must not take it for acknowledged.
+            return 404, b"{}"
         return 200, b"{}"
 
     def gauges(self) -> dict[str, float]:
--- a/godwitturn/platform/documents.py
+++ b/godwitturn/platform/documents.py
@@ -9,6 +9,7 @@
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import routes
+from godwitturn.platform import settings
 from godwitturn.protocol import json_values
 
 CONFIGURATION_KEY = "op/config"
@@ -134,7 +135,7 @@
                 f"heartbeat: state is {state!r}; "
                 f"allowed: {_READY!r}, {_DRAINING!r}"
             )
-        for name in ("address", "zone", "version"):
+        for name in ("zone", "version"):
             json_values.text(document.get(name), name)
         return heartbeats.Heartbeat(
             target_id=json_values.text(target_id, "id"),
@@ -144,6 +145,7 @@
             draining=state == _DRAINING,
             slots=_get_integer(document, "slots"),
             cold_ms=_get_integer(document, "cold_remaining_ms"),
+            address=_decode_socket_address(document.get("address"), "address"),
         )
     except MalformedError:
         raise
@@ -151,6 +153,15 @@
         raise MalformedError(f"heartbeat: {exc!r}") from exc
 
 
+def _decode_socket_address(value: Any, name: str) -> tuple[str, int]:
+    try:
+        return settings.split_address(json_values.text(value, name))
+    except ValueError as exc:
+        raise json_values.unexpected(
+            value, name, "an address and port such as 10.0.0.1:8080"
+        ) from exc
+
+
 def _get_integer(document: dict[str, Any], name: str) -> int:
     return json_values.integer(document.get(name), name)
 
--- a/godwitturn/standins/admission_simulation.py
+++ b/godwitturn/standins/admission_simulation.py
@@ -207,7 +207,14 @@
         self._running.clear()
         self._queued.clear()
         heartbeat = heartbeats.Heartbeat(
-            "i-1", self._born, 1, "core", False, self._slots, cold_ms
+            "i-1",
+            self._born,
+            1,
+            "core",
+            False,
+            self._slots,
+            cold_ms,
+            transparent_simulation.TARGET_ADDRESS,
         )
         self._perform(self.agent.handle_heartbeat(heartbeat, now=self.now))
 
--- a/godwitturn/standins/transparent_simulation.py
+++ b/godwitturn/standins/transparent_simulation.py
@@ -38,6 +38,8 @@
 _SEQUENCE_OFFSET = 16
 _SEQUENCE = struct.Struct("<I")
 NETWORK_DELAY_S = 0.004
+# Where an agent's target receives packets, on the VM of both.
+TARGET_ADDRESS = ("127.0.0.1", 8165)
 ROUTE_ADDRESS = 0xC6120001
 ROUTE_PORT = 443
 HEARTBEAT_INTERVAL_S = 1.2
@@ -125,7 +127,7 @@
         cold_limiter=cold_limit.ColdLimit(
             1.5, 5, per_second=cold_per_second, started_at=started_at
         ),
-        target=target_watch.TargetWatch(service),
+        target=target_watch.TargetWatch(service, TARGET_ADDRESS),
         fetcher=document_exchange.DocumentFetcher(
             node, interval_s=agents.FETCH_INTERVAL_S
         ),
@@ -439,6 +441,7 @@
                 draining=target.draining,
                 slots=1,
                 cold_ms=target.cold_ms,
+                address=TARGET_ADDRESS,
             )
             actions = vm.agent.handle_heartbeat(heartbeat, now=self.now)
             self.perform(vm.address, actions)
--- a/godwitturn/tests/test_flow_record.py
+++ b/godwitturn/tests/test_flow_record.py
@@ -20,7 +20,16 @@
     target_id: str = "i-1", born: int = 1000, service: str = "core"
 ) -> heartbeats.Heartbeat:
     """Returns a heartbeat of a target."""
-    return heartbeats.Heartbeat(target_id, born, 1, service, False, 1, 0)
+    return heartbeats.Heartbeat(
+        target_id,
+        born,
+        1,
+        service,
+        False,
+        1,
+        0,
+        transparent_simulation.TARGET_ADDRESS,
+    )
 
 
 def flow(
@@ -168,7 +177,9 @@
         )
         self.recorder = flow_record.FlowRecorder()
         self.recorder.apply_earlier(self.record)
-        self.target = target_watch.TargetWatch("core")
+        self.target = target_watch.TargetWatch(
+            "core", transparent_simulation.TARGET_ADDRESS
+        )
         self.flow_by_id: dict[segments.FlowId, agent_flows.Flow] = {}
 
     def resets(self, newest: heartbeats.Heartbeat) -> list[messages.Reset]:
@@ -270,7 +281,16 @@
         )
 
     def test_flows_recorded_before_a_later_start_are_reset(self) -> None:
-        later_start = heartbeats.Heartbeat("i-2", 2000, 3, "core", False, 1, 0)
+        later_start = heartbeats.Heartbeat(
+            "i-2",
+            2000,
+            3,
+            "core",
+            False,
+            1,
+            0,
+            transparent_simulation.TARGET_ADDRESS,
+        )
         self.agent.handle_heartbeat(later_start, now=0.5)
         actions = self.agent.apply_earlier_record(self.record, now=1.0)
         self.assertIn(messages.Reset(LONG_FLOW, 77), actions)
--- a/godwitturn/tests/test_flow_searches.py
+++ b/godwitturn/tests/test_flow_searches.py
@@ -128,7 +128,16 @@
         """Returns the reply of an agent after the target's heartbeat."""
         agent = transparent_simulation.make_agent()
         agent.handle_heartbeat(
-            heartbeats.Heartbeat("i-1", 1, sequence, "core", False, 1, 0),
+            heartbeats.Heartbeat(
+                "i-1",
+                1,
+                sequence,
+                "core",
+                False,
+                1,
+                0,
+                transparent_simulation.TARGET_ADDRESS,
+            ),
             now=1.0,
         )
         query = messages.FlowQuery((1, 2, 3, 4), "")
--- a/godwitturn/tests/test_platform_documents.py
+++ b/godwitturn/tests/test_platform_documents.py
@@ -109,6 +109,7 @@
             {"service": 5},
             {"born": 1.5},
             {"address": 8165},
+            {"address": "10.1.0.12"},
             {"zone": None},
             {"version": ["v1"]},
             {"cold_remaining_ms": "0"},
--- a/godwitturn/tests/test_platform_store_faults.py
+++ b/godwitturn/tests/test_platform_store_faults.py
@@ -180,6 +180,12 @@
         )
         self.assertTrue(self.logged("agent", "malformed_heartbeat"))
 
+    # Guards against an acknowledgement to a target that gets no openings from
+    # this agent, and against its start counting as one of the agent's target.
+    def test_heartbeat_of_another_address_resets_no_flow(self) -> None:
+        self.assert_flow_survives(404, address="10.0.0.9:8165")
+        self.assertTrue(self.logged("agent", "heartbeat_ignored"))
+
 
 class TestRestoredStore(program_case.ProgramCase):
     """A store that was restored from a backup gives out revisions again."""
--- a/godwitturn/tests/test_suspension.py
+++ b/godwitturn/tests/test_suspension.py
@@ -42,7 +42,16 @@
 
     def setUp(self) -> None:
         self.agent = transparent_simulation.make_agent()
-        heartbeat = heartbeats.Heartbeat("i-1", 1, 1, "core", False, 1, 0)
+        heartbeat = heartbeats.Heartbeat(
+            "i-1",
+            1,
+            1,
+            "core",
+            False,
+            1,
+            0,
+            transparent_simulation.TARGET_ADDRESS,
+        )
         self.agent.handle_heartbeat(heartbeat, now=10.0)
 
     def _forward(self, flags: int, delay_s: float) -> list[messages.Action]:
--- a/godwitturn/tests/test_target_watch.py
+++ b/godwitturn/tests/test_target_watch.py
@@ -8,6 +8,7 @@
 
 Verdict = target_watch.Verdict
 State = messages.TargetState
+ADDRESS = ("10.1.1.1", 8165)
 
 
 def heartbeat(
@@ -19,10 +20,11 @@
     draining: bool = False,
     cold_ms: int = 0,
     slots: int = 1,
+    address: tuple[str, int] = ADDRESS,
 ) -> heartbeats.Heartbeat:
     """Returns a heartbeat."""
     return heartbeats.Heartbeat(
-        target_id, born, sequence, service, draining, slots, cold_ms
+        target_id, born, sequence, service, draining, slots, cold_ms, address
     )
 
 
@@ -30,7 +32,7 @@
     """A target after its first heartbeat, which says that it is ready."""
 
     def setUp(self) -> None:
-        self.watch = target_watch.TargetWatch("core")
+        self.watch = target_watch.TargetWatch("core", ADDRESS)
         self.watch.update(heartbeat(1), now=0.0)
 
 
@@ -54,6 +56,18 @@
             self.watch.update(heartbeat(2, service="desk"), now=1.0),
         )
 
+    # Guards against a target of another VM that replaces the agent's own one.
+    def test_heartbeat_of_another_address_is_ignored(self) -> None:
+        for address in (("10.1.1.2", 8165), ("10.1.1.1", 8166)):
+            with self.subTest(address):
+                other = heartbeat(
+                    1, target_id="i-2", born=2000, address=address
+                )
+                self.assertIs(
+                    Verdict.OTHER_ADDRESS, self.watch.update(other, now=1.0)
+                )
+                self.assertEqual("i-1/1000", self.watch.incarnation)
+
     def test_later_start_under_the_same_id_is_a_restart(self) -> None:
         self.assertIs(
             Verdict.RESTARTED,
@@ -94,7 +108,7 @@
         )
 
     def test_agent_that_started_later_does_not_track_all_flows(self) -> None:
-        watch = target_watch.TargetWatch("core")
+        watch = target_watch.TargetWatch("core", ADDRESS)
         watch.update(heartbeat(7), now=0.0)
         self.assertFalse(watch.tracks_all_flows)
         self.assertTrue(self.watch.tracks_all_flows)
@@ -109,7 +123,9 @@
         self.assertEqual(0, self.watch.cold_ms(3.0))
 
     def test_unknown_target_counts_as_cold(self) -> None:
-        self.assertGreater(target_watch.TargetWatch("core").cold_ms(9.0), 0)
+        self.assertGreater(
+            target_watch.TargetWatch("core", ADDRESS).cold_ms(9.0), 0
+        )
 
 
 class TestSlots(WatchCase):
--- a/godwitturn/tests/test_unknown_state.py
+++ b/godwitturn/tests/test_unknown_state.py
@@ -71,7 +71,9 @@
 
 
 def heartbeat(sequence: int, *, cold_ms: int = 0) -> heartbeats.Heartbeat:
-    return heartbeats.Heartbeat("i", 1, sequence, "core", False, 9, cold_ms)
+    return heartbeats.Heartbeat(
+        "i", 1, sequence, "core", False, 9, cold_ms, simulation.TARGET_ADDRESS
+    )
 
 
 class AgentCase(unittest.TestCase):
--- a/godwitturn/tests/test_work_limit.py
+++ b/godwitturn/tests/test_work_limit.py
@@ -105,7 +105,16 @@
         self._unanswered_count = 0
         self._slot_free_at = [0.0] * SLOTS
         self._agent = transparent_simulation.make_agent()
-        heartbeat = heartbeats.Heartbeat("i-1", 1, 1, "core", False, SLOTS, 0)
+        heartbeat = heartbeats.Heartbeat(
+            "i-1",
+            1,
+            1,
+            "core",
+            False,
+            SLOTS,
+            0,
+            transparent_simulation.TARGET_ADDRESS,
+        )
         self._agent.handle_heartbeat(heartbeat, now=0.0)
         for number in range(clients):
             self._forward(flow_of(number), transparent_simulation.SYN)
