Keep the cold limit until the target is certain to be warm

Cause: the agent rounded the remaining cold time, so it counted the target as warm up to 0.5 ms before the time that the target had stated, and targets state whole milliseconds. At that moment all openings that wait for the limit are delivered at once, while those of the last second already use it up.

Change: the limit applies for COLD_MARGIN_S after the stated time. A heartbeat that states 0 doesn't shorten it, since it is sent with less than a millisecond left; only a restart does.

Before: test_waiting_openings_are_not_delivered_before_the_end fails with 16 openings, 11 allowed.

--- a/godwitturn/core/transparent/admission.py
+++ b/godwitturn/core/transparent/admission.py
@@ -223,7 +223,7 @@
         ):
             return [self._deliver(opening, target, cold_limiter, now)]
         if (
-            target.cold_ms(now) > 0
+            target.is_cold(now)
             and len(self._waiting_by_id) >= cold_limiter.max_waiting
         ):
             return [Decision(opening, Outcome.REFUSED, messages.Refusal.COLD)]
@@ -499,7 +499,7 @@
         cold_limiter: cold_limit.ColdLimit,
         now: float,
     ) -> bool:
-        return target.cold_ms(now) > 0 and not cold_limiter.capacity(now=now)
+        return target.is_cold(now) and not cold_limiter.capacity(now=now)
 
     def _must_wait(
         self,
@@ -540,7 +540,7 @@
         cold_limiter: cold_limit.ColdLimit,
         now: float,
     ) -> Decision:
-        cold = target.cold_ms(now) > 0
+        cold = target.is_cold(now)
         cold_limiter.admit(now=now, cold=cold)
         flow_id = opening.segment.flow_id
         self.work_limiter.record_opening(flow_id, now=now)
--- a/godwitturn/core/transparent/target_watch.py
+++ b/godwitturn/core/transparent/target_watch.py
@@ -28,6 +28,9 @@
 # heartbeat of an earlier start isn't taken for a late one, because it may come
 # from a successor whose clock is behind.
 MAX_HEARTBEAT_GAP_S = 2.5
+# Time for which a target counts as cold after the time that it has stated.
+# Heartbeats state whole milliseconds, which may be rounded down.
+COLD_MARGIN_S = 0.1
 
 
 class Verdict(enum.Enum):
@@ -87,6 +90,7 @@
     tracks_all_flows: bool = False
     departed: bool = False
     cold_outdated: bool = False
+    _cold_until: float = float("inf")
     _unanswered_since: float | None = None
     _probed_at: float = float("-inf")
 
@@ -119,6 +123,14 @@
         minimum_ms = 1 if self.cold_outdated else 0
         return max(minimum_ms, round(self.heartbeat.cold_ms - elapsed_ms))
 
+    def is_cold(self, now: float) -> bool:
+        """Returns whether the limit of a cold target applies.
+
+        It does until the target is certain to be warm. Openings that wait for
+        it are delivered at once then.
+        """
+        return self.cold_outdated or now < self._cold_until
+
     def update(
         self, heartbeat: heartbeats.Heartbeat, *, now: float
     ) -> Verdict:
@@ -138,6 +150,10 @@
         self.heartbeat_at = now
         self.departed = False
         self.cold_outdated = False
+        if heartbeat.cold_ms:
+            self._cold_until = now + heartbeat.cold_ms / 1000 + COLD_MARGIN_S
+        elif verdict is Verdict.RESTARTED:
+            self._cold_until = now
         state = (
             messages.TargetState.DRAINING
             if heartbeat.draining
--- a/godwitturn/tests/test_target_watch.py
+++ b/godwitturn/tests/test_target_watch.py
@@ -122,6 +122,28 @@
         self.assertEqual(500, self.watch.cold_ms(2.0))
         self.assertEqual(0, self.watch.cold_ms(3.0))
 
+    # Guards against openings that waited for a cold target and are delivered
+    # just before it is warm: with those of the last second, they exceed the
+    # limit.
+    def test_target_counts_as_cold_for_all_of_the_stated_time(self) -> None:
+        self.watch.update(heartbeat(2, cold_ms=1500), now=1.0)
+        for now in (1.0, 2.4996, 2.4999, 2.5009):
+            with self.subTest(now):
+                self.assertTrue(self.watch.is_cold(now))
+        self.assertFalse(self.watch.is_cold(3.0))
+
+    # A target without a whole millisecond left states 0.
+    def test_heartbeat_without_cold_time_does_not_shorten_it(self) -> None:
+        self.watch.update(heartbeat(2, cold_ms=1500), now=1.0)
+        self.watch.update(heartbeat(3), now=2.4998)
+        self.assertTrue(self.watch.is_cold(2.4999))
+        self.assertFalse(self.watch.is_cold(3.0))
+
+    def test_restarted_target_is_as_cold_as_it_states(self) -> None:
+        self.watch.update(heartbeat(2, cold_ms=1500), now=1.0)
+        self.watch.update(heartbeat(1, born=2000), now=1.2)
+        self.assertFalse(self.watch.is_cold(1.2))
+
     def test_unknown_target_counts_as_cold(self) -> None:
         self.assertGreater(
             target_watch.TargetWatch("core", ADDRESS).cold_ms(9.0), 0
--- a/godwitturn/tests/test_unknown_state.py
+++ b/godwitturn/tests/test_unknown_state.py
@@ -328,6 +328,22 @@
         self.assert_bound(delivered)
 
 
+class TestEndOfColdTime(AgentCase):
+    """The limit applies until the target is warm by its own clock."""
+
+    # Guards against openings that wait for the limit and are delivered a
+    # fraction of a millisecond before the target is warm (review case 5).
+    # Order: first openings 0.5 s after the start, last one 0.3 ms before the
+    # end of the cold time.
+    def test_waiting_openings_are_not_delivered_before_the_end(self) -> None:
+        self.reader.read(5, CONFIGURATION)
+        self.reader.say_hello(self.agent, now=0.0)
+        self.agent.handle_heartbeat(heartbeat(1, cold_ms=1500), now=0.0)
+        delivered = self.open_flows(self.agent, 0.4997, 1.5197)
+        self.assertTrue(delivered)
+        self.assert_bound(delivered)
+
+
 class TestOtherState(AgentCase):
     """Members, flows and states that a daemon hasn't learnt yet."""
 
