State no cold limit for a service that isn't in the configuration

Callers would see a cold target that gets every opening (FAILBACK).

Cause: a balancer whose configuration doesn't name the service of an agent's target yet, because a newer version hasn't reached it, stated 0 in its hellos, at the current store position. Agents read 0 as "no limit" and applied it until a hello of a balancer with the newer version.

Found by going through the orders in which an agent learns of its target and of the limit, without network (test_cold_orders): starts of agent and target, and hellos of balancers that know all, lack the agent's entry, or have an older configuration.

Change: such a hello states nothing, like one of a balancer that doesn't know the service. Agents keep the limit that they have; without one they admit the slack alone.

--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -807,15 +807,18 @@
         self._hello_at_by_address[address] = now
         target = self.target_table.target_by_address.get(address)
         position, service = store_position.UNREAD, None
-        name = self._service_of(address)
-        if self.configuration is not None and name:
-            # Until both are known, hellos state nothing about the service.
-            # Agents of the previous version take the position for that of
-            # the documents, and would fetch these after each read.
+        if self.configuration is not None:
+            service = self.configuration.service_by_name.get(
+                self._service_of(address)
+            )
+        if service is not None:
+            # Until it is known, hellos state nothing about the service, whose
+            # limit may be in a configuration that hasn't arrived yet. Agents
+            # of the previous version take the position for that of the
+            # documents, and would fetch these after each read.
             announcement = target.announcement if target else None
             extended = announcement is None or announcement.wait_ms is not None
             position = self.position if extended else self.fetcher.position
-            service = self.configuration.service_by_name.get(name)
         return messages.Send(
             address,
             messages.Hello(
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -262,7 +262,7 @@
             know them.
         evacuated: Whether the agent's data centre must get no new flows.
         cold_per_second: Requests a second that a cold target can handle; 0 if
-            the service sets no limit or isn't in the configuration.
+            the service sets no limit.
         registered: Whether the agent's entry is in the store.
         data_centre: Data centre of the balancer.
         agents: Number of agents in the balancer's table.
