Name the service whose limit a hello states

Cause: a balancer takes an address for the agent that it knew there, until the present agent's first announcement. If the address went to an agent of another service, hellos stated the limit of the former one at the newest position, and whether the former one's data centre is evacuated. The agent applied both.

Change: hellos name the service that they state. An agent counts and ignores statements on others. The name is a field after those that the previous version knows, which ignores it; hellos without it are accepted as before. test_additional_fields_are_ignored appended unknown fields to the former form of hellos, so it now fills in the default of the new field first, as it does for announcements; what it asserts is unchanged.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -656,6 +656,11 @@
         self.fetcher.spread_s = pacing.document_spread_s(hello.agents)
         if hello.flows_requested:
             actions += self._send_flows(balancer)
+        if hello.service not in (None, self.service):
+            # The sender has taken this agent for an earlier one of its
+            # address, and hasn't received an announcement yet.
+            self.count("hellos_of_other_services")
+            return actions
         has_read = hello.position > store_position.UNREAD
         if has_read and hello.position >= self.position:
             # A restarted agent doesn't know if its target was evacuated.
--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -833,6 +833,7 @@
                 data_centre=self.data_centre,
                 agents=len(self.target_table.target_by_address),
                 flows_requested=target is None or target.last_seen_at is None,
+                service=service.name if service else None,
             ),
         )
 
--- a/godwitturn/core/transparent/messages.py
+++ b/godwitturn/core/transparent/messages.py
@@ -268,6 +268,9 @@
         agents: Number of agents in the balancer's table.
         flows_requested: Whether the agent should list the target's flows,
             because the balancer has received no message from the agent yet.
+        service: Service that `evacuated` and `cold_per_second` apply to. The
+            address may have belonged to another service's agent before. None
+            if the sender knows none, or is of the previous version.
     """
 
     position: store_position.StorePosition
@@ -277,6 +280,7 @@
     data_centre: str
     agents: int
     flows_requested: bool
+    service: str | None = None
 
 
 @attrs.define(frozen=True, repr=False)
--- a/godwitturn/protocol/transparent.py
+++ b/godwitturn/protocol/transparent.py
@@ -56,7 +56,7 @@
 # Defaults of the fields that announcements of the previous version don't have.
 _ANNOUNCEMENT_DEFAULTS = [False, 0, 0, None, False]
 _ANNOUNCEMENT_FIELDS = 19
-_HELLO_FIELDS = 7
+_HELLO_FIELDS = 8
 _PEER_STATUS_FIELDS = 5
 # Client address and port, route address and port.
 _FLOW_ID = struct.Struct("!IHIH")
@@ -139,6 +139,8 @@
                 message.agents,
                 message.flows_requested,
             ]
+            if message.service is not None:
+                fields.append(message.service)
             return _encode_json(_KIND_HELLO, fields)
         case messages.Capabilities(version):
             return bytes((_KIND_CAPABILITIES, version))
@@ -308,6 +310,7 @@
     data_centre: Any,
     agents: Any,
     flows_requested: Any,
+    service: Any = None,
 ) -> messages.Hello:
     return messages.Hello(
         position=_decode_position(position),
@@ -317,6 +320,9 @@
         data_centre=json_values.text(data_centre, "data centre"),
         agents=json_values.integer(agents, "agents"),
         flows_requested=bool(flows_requested),
+        service=(
+            None if service is None else json_values.text(service, "service")
+        ),
     )
 
 
--- a/godwitturn/tests/test_cold_orders.py
+++ b/godwitturn/tests/test_cold_orders.py
@@ -1,8 +1,8 @@
 """Tests of the limit of cold targets over all orders of what an agent learns.
 
 An agent learns of its target from heartbeats, and of the limit from hellos of
-balancers, of which some don't know the target's service yet, or its limit.
-None of the orders may lift the limit.
+balancers, of which some don't know the target's service yet, or know another
+one. None of the orders may lift the limit.
 """
 
 import itertools
@@ -75,6 +75,7 @@
     return {
         "known": make_balancer("10.0.1.1", known, service="core"),
         "no entry": make_balancer("10.0.1.2", known, service=""),
+        "former owner": make_balancer("10.0.1.3", known, service="desk"),
         "older configuration": make_balancer(
             "10.0.1.4", {"desk": 0.0}, service="core"
         ),
@@ -203,8 +204,8 @@
             run.start_by_name,
         )
 
-    # Guards against a hello that states that there is no limit because its
-    # balancer doesn't know it: cold targets got every opening (review case 5).
+    # Guards against a hello that states the limit of another service, or none,
+    # for the target of the agent (review case 5, and the same cause elsewhere).
     def test_no_order_of_starts_and_hellos_lifts_the_limit(self) -> None:
         names = ("agent", "target", *make_balancers(4.0))
         for number, order in enumerate(itertools.permutations(names)):
@@ -213,7 +214,7 @@
             }
             with self.subTest(order):
                 self.assert_bound(
-                    Run((4.0, 1.0, 40.0)[number % 3], start_by_name)
+                    Run((4.0, 1.0, 4.0, 40.0)[number % 4], start_by_name)
                 )
 
     # Guards against a restart of the agent, or a lost hello, that lifts the
--- a/godwitturn/tests/test_transparent_messages.py
+++ b/godwitturn/tests/test_transparent_messages.py
@@ -17,6 +17,7 @@
 PREVIOUS_KINDS = range(1, 13)
 # Fields of an announcement that they accept.
 PREVIOUS_ANNOUNCEMENT_FIELDS = 14
+PREVIOUS_HELLO_FIELDS = 7
 EXAMPLES: tuple[messages.Message, ...] = (
     messages.Forward("core", True, b"\x00packet"),
     messages.Forward("", False, b""),
@@ -43,6 +44,7 @@
         failing=True,
     ),
     messages.Hello(POSITION, True, 1.5, False, "a", 9, True),
+    messages.Hello(POSITION, True, 1.5, False, "a", 9, True, "core"),
     messages.FlowsListed(((1, 2, 3, 4), (5, 6, 7, 8))),
     messages.PeerStatus(POSITION, ("10.1.0.1",), "a", True, ("10.1.0.2",)),
     messages.Relayed("10.1.0.1", messages.Forward("core", False, b"packet")),
@@ -145,6 +147,15 @@
                     case _:
                         self.assertNotIn(data[0], PREVIOUS_KINDS)
 
+    # Guards against a fleet in which agents of the previous version learn
+    # nothing from hellos that name their service.
+    def test_hello_of_a_service_begins_with_the_previous_form(self) -> None:
+        hello = messages.Hello(POSITION, True, 1.5, False, "a", 9, True)
+        fields = json.loads(transparent.encode(hello)[1:])
+        self.assertEqual(PREVIOUS_HELLO_FIELDS, len(fields))
+        named = transparent.encode(attrs.evolve(hello, service="core"))
+        self.assertEqual(fields, json.loads(named[1:])[:PREVIOUS_HELLO_FIELDS])
+
     # Guards against a fleet in which an older daemon drops each announcement
     # of a newer one.
     def test_additional_fields_are_ignored(self) -> None:
@@ -158,6 +169,8 @@
                     defaults = [False, 0, 0, None, False]
                     known = PREVIOUS_ANNOUNCEMENT_FIELDS
                     fields += defaults[len(fields) - known :]
+                if isinstance(message, messages.Hello):
+                    fields += [None][len(fields) - PREVIOUS_HELLO_FIELDS :]
                 fields += [{"new": 1}, None]
                 extended = data[:1] + json.dumps(fields).encode()
                 self.assertEqual(message, transparent.decode(extended))
