State a changed cold limit without waiting for the next hello

Cause: after a new configuration, balancers stated its limits with their next regular hello only: 0.5 s later, 1.5 s in large fleets. A service that the former version didn't have was without a statement for that time.

Change: if the services differ, hellos are due at the next tick (0.1 s), as they are after an evacuation and the first configuration.

Before: test_next_tick_states_the_new_limit fails, no hello is sent. After: it passes. Versions that change routes alone cause no hellos.

--- a/godwitturn/core/transparent/balancer.py
+++ b/godwitturn/core/transparent/balancer.py
@@ -152,8 +152,9 @@
             ]
         self.configuration = self.dispatcher.configuration = configuration
         self.history.observe(configuration)
-        if previous is None:
-            # Hellos without a statement on the service were sent until now;
+        services = configuration.service_by_name
+        if previous is None or previous.service_by_name != services:
+            # Hellos stated nothing on the services, or their former limits;
             # the next ones are due at the next tick.
             self._hello_at_by_address.clear()
         return [
--- a/godwitturn/tests/test_unknown_state.py
+++ b/godwitturn/tests/test_unknown_state.py
@@ -328,6 +328,33 @@
         self.assert_bound(delivered)
 
 
+class TestChangedLimit(AgentCase):
+    """A new version's limit must reach the agents with the version."""
+
+    # Guards against a balancer that goes on stating the former limit, or
+    # nothing on a new service, until its next regular hello.
+    def test_next_tick_states_the_new_limit(self) -> None:
+        self.reader.read(5, CONFIGURATION)
+        self.reader.say_hello(self.agent, now=0.5)
+        self.reader.send_statuses(self.agent, now=1.0)
+        assert CONFIGURATION.value is not None
+        changed = mirror.Item(
+            CONFIGURATION.key,
+            CONFIGURATION.value.replace(b": 1,", b": 2,", 1).replace(
+                b"4.0", b"1.0"
+            ),
+            7,
+        )
+        self.reader.read(7, changed)
+        limits = [
+            action.message.cold_per_second
+            for action in self.reader.balancer.tick(now=1.1)
+            if isinstance(action, messages.Send)
+            and isinstance(action.message, messages.Hello)
+        ]
+        self.assertEqual([1.0], limits)
+
+
 class TestEndOfColdTime(AgentCase):
     """The limit applies until the target is warm by its own clock."""
 
