Log which cold limit an opening met, and where it came from

Logs and metrics couldn't tell the hypotheses apart: a target counted as warm, a limit of 0 or of another service, a limit not stated yet, openings that don't pass the agent's count.

Change: opening_delivered at a cold target names cold time, limit, age of the limit and use of the window; the new event cold_limit (GW653) names balancer, service and position of each change.

Tests: TestLogOfTheLimit.

--- a/godwitturn/core/transparent/agent.py
+++ b/godwitturn/core/transparent/agent.py
@@ -431,7 +431,9 @@
         )
         return [
             self._deliver(opening, now=now),
-            agent_events.opening_delivered(opening, self.target, now=now),
+            agent_events.opening_delivered(
+                opening, self.target, self.cold_limiter, now=now
+            ),
         ]
 
     def _report_queued(
@@ -670,7 +672,12 @@
                 # Targets may become cold while they are evacuated.
                 self.target.cold_outdated = True
             self.position = hello.position
-            self.cold_limiter.per_second = hello.cold_per_second
+            if self.cold_limiter.set_rate(hello.cold_per_second, now=now):
+                actions.append(
+                    agent_events.cold_limit_changed(
+                        balancer, hello, self.target
+                    )
+                )
             if hello.evacuated != self.evacuated:
                 self.evacuated = hello.evacuated
                 actions.append(
--- a/godwitturn/core/transparent/agent_events.py
+++ b/godwitturn/core/transparent/agent_events.py
@@ -1,6 +1,7 @@
 """Log events of an agent about its target, openings and requests."""
 
 from godwitturn.core.transparent import admission as admissions
+from godwitturn.core.transparent import cold_limit
 from godwitturn.core.transparent import deliveries
 from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
@@ -44,25 +45,53 @@
     )
 
 
-def opening_delivered(
-    opening: deliveries.Delivery,
-    target: target_watch.TargetWatch,
-    *,
-    now: float,
+def cold_limit_changed(
+    balancer: str, hello: messages.Hello, target: target_watch.TargetWatch
 ) -> messages.LogEvent:
-    """Returns the event of an opening that is delivered to the target."""
+    """Returns the event of a hello that changes the limit of a cold target."""
     return messages.LogEvent(
-        "opening_delivered",
+        "cold_limit",
         {
-            "flow": segments.flow_name(opening.segment.flow_id),
-            "balancer": opening.balancer,
+            "per_second": hello.cold_per_second,
+            "balancer": balancer,
+            "service": hello.service,
+            "era": hello.position.era,
+            "revision": hello.position.revision,
             "incarnation": target.incarnation,
-            "state": target.state.name.lower(),
-            "state_age_ms": round(1000 * (now - target.heartbeat_at)),
         },
     )
 
 
+def opening_delivered(
+    opening: deliveries.Delivery,
+    target: target_watch.TargetWatch,
+    cold_limiter: cold_limit.ColdLimit,
+    *,
+    now: float,
+) -> messages.LogEvent:
+    """Returns the event of an opening that is delivered to the target.
+
+    At a cold target, it names the limit, its age and what has used it up.
+    """
+    fields: dict[str, object] = {
+        "flow": segments.flow_name(opening.segment.flow_id),
+        "balancer": opening.balancer,
+        "incarnation": target.incarnation,
+        "state": target.state.name.lower(),
+        "state_age_ms": round(1000 * (now - target.heartbeat_at)),
+    }
+    if target.is_cold(now):
+        age_s = cold_limiter.age_s(now=now)
+        fields |= {
+            "cold_ms": target.cold_ms(now),
+            "per_second": cold_limiter.per_second,
+            "limit_age_ms": None if age_s is None else round(1000 * age_s),
+            "in_window": cold_limiter.used(now=now),
+            "per_window": cold_limiter.per_window,
+        }
+    return messages.LogEvent("opening_delivered", fields)
+
+
 def opening_waits(
     opening: deliveries.Delivery,
     target: target_watch.TargetWatch,
--- a/godwitturn/core/transparent/catalogue.py
+++ b/godwitturn/core/transparent/catalogue.py
@@ -50,4 +50,5 @@
     "agent_awaited": 650,
     "spreading_changed": 651,
     "route_history_written": 652,
+    "cold_limit": 653,
 }
--- a/godwitturn/core/transparent/cold_limit.py
+++ b/godwitturn/core/transparent/cold_limit.py
@@ -40,6 +40,7 @@
     slack: float
     per_second: float | None = None
     started_at: float = float("-inf")
+    _stated_at: float | None = None
     _admitted_at: collections.deque[float] = attrs.field(
         factory=collections.deque
     )
@@ -52,14 +53,31 @@
         bound = (self.per_second or 0.0) * self.overshoot + self.slack
         return max(1, int(bound) - 1)
 
-    def capacity(self, *, now: float) -> int:
-        """Returns how many more openings may go to the target now."""
+    def set_rate(self, per_second: float, *, now: float) -> bool:
+        """Sets `per_second` and returns whether it changed."""
+        changed = per_second != self.per_second
+        self.per_second = per_second
+        self._stated_at = now
+        return changed
+
+    def age_s(self, *, now: float) -> float | None:
+        """Returns how long ago the rate was stated, None if it wasn't."""
+        return None if self._stated_at is None else now - self._stated_at
+
+    def used(self, *, now: float) -> int:
+        """Returns how many openings count in the window that ends now."""
         span_s = WINDOW_S + WINDOW_MARGIN_S
         while self._admitted_at and self._admitted_at[0] <= now - span_s:
             self._admitted_at.popleft()
+        return len(self._admitted_at)
+
+    def capacity(self, *, now: float) -> int:
+        """Returns how many more openings may go to the target now."""
+        used = self.used(now=now)
+        span_s = WINDOW_S + WINDOW_MARGIN_S
         if now < self.started_at + span_s and self.per_second != 0:
             return 0
-        return max(0, self.per_window - len(self._admitted_at))
+        return max(0, self.per_window - used)
 
     def discount_earlier_run(self) -> None:
         """Excludes openings of an earlier run, as the target is younger."""
--- a/godwitturn/core/transparent/introspection.py
+++ b/godwitturn/core/transparent/introspection.py
@@ -100,6 +100,8 @@
         "wait_ms": admission.expected_wait_ms(target.slots, now=now),
         "stalled": admission.stalled,
         "openings": admission.openings,
+        "cold_ms": target.cold_ms(now),
+        "cold_limit_per_s": agent.cold_limiter.per_second,
         "refusals": {
             name.removeprefix("refused_"): count
             for name, count in agent.counts.items()
--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -354,6 +354,7 @@
 
     def gauges(self) -> dict[str, float]:
         """Returns the current gauge values."""
+        cold_limiter = self.core.cold_limiter
         return {
             "flows": len(self.core.flows.flow_by_id),
             "balancers": len(self.core.subscribers.balancer_by_address),
@@ -362,6 +363,14 @@
                 self.core.target.slots, now=self.loop.now
             ),
             "openings_queued": self.core.admission.waiting_count,
+            # -1 until a balancer has stated the limit, 0 without a limit.
+            "cold_limit_per_s": (
+                -1.0
+                if cold_limiter.per_second is None
+                else cold_limiter.per_second
+            ),
+            "cold_limit_used": cold_limiter.used(now=self.loop.now),
+            "target_cold_ms": self.core.target.cold_ms(self.loop.now),
             "openings_admitted": self.core.admission.openings,
             "opening_copies_dropped": self.core.admission.copies,
             "log_lines_left_out": self.log.dropped,
--- a/godwitturn/tests/test_cold_orders.py
+++ b/godwitturn/tests/test_cold_orders.py
@@ -205,7 +205,7 @@
         )
 
     # Guards against a hello that states the limit of another service, or none,
-    # for the target of the agent (review case 5, and the same cause elsewhere).
+    # for the agent's target: cold targets got every opening (review case 5).
     def test_no_order_of_starts_and_hellos_lifts_the_limit(self) -> None:
         names = ("agent", "target", *make_balancers(4.0))
         for number, order in enumerate(itertools.permutations(names)):
--- a/godwitturn/tests/test_unknown_state.py
+++ b/godwitturn/tests/test_unknown_state.py
@@ -328,6 +328,73 @@
         self.assert_bound(delivered)
 
 
+class TestLogOfTheLimit(AgentCase):
+    """The log tells which limit each opening at a cold target met."""
+
+    def events(
+        self, actions: list[messages.Action], name: str
+    ) -> list[dict[str, object]]:
+        return [
+            dict(action.fields)
+            for action in actions
+            if isinstance(action, messages.LogEvent) and action.event == name
+        ]
+
+    def open_flow(self, *, now: float) -> dict[str, object]:
+        """Returns the fields of the event of an opening."""
+        flow_id = (1, next(self._ports), simulation.ROUTE_ADDRESS, 443)
+        data = simulation.packet(flow_id, simulation.SYN)
+        actions = self.agent.handle_forward(
+            self.reader.balancer.address,
+            messages.Forward("core", False, data),
+            simulation.client_segment(data),
+            now=now,
+        )
+        (fields,) = self.events(actions, "opening_delivered")
+        return fields
+
+    def test_change_names_balancer_and_position(self) -> None:
+        self.reader.read(5, CONFIGURATION)
+        hello = self.reader.balancer.make_hello(AGENT, now=0.0).message
+        assert isinstance(hello, messages.Hello)
+        address = self.reader.balancer.address
+        actions = self.agent.handle_hello(address, hello, now=0.0)
+        (fields,) = self.events(actions, "cold_limit")
+        self.assertEqual(
+            (4.0, address, "core", 5),
+            tuple(
+                fields[name]
+                for name in ("per_second", "balancer", "service", "revision")
+            ),
+        )
+        repeated = self.agent.handle_hello(address, hello, now=0.5)
+        self.assertEqual([], self.events(repeated, "cold_limit"))
+
+    def test_opening_at_a_cold_target_names_the_limit(self) -> None:
+        self.agent.handle_heartbeat(heartbeat(1, cold_ms=1500), now=0.0)
+        unstated = self.open_flow(now=0.1)
+        self.assertEqual(
+            (None, None), (unstated["per_second"], unstated["limit_age_ms"])
+        )
+        self.reader.read(5, CONFIGURATION)
+        self.reader.say_hello(self.agent, now=0.2)
+        fields = self.open_flow(now=0.5)
+        self.assertEqual(
+            (4.0, 300, 2, 10, 1000),
+            tuple(
+                fields[name]
+                for name in (
+                    "per_second",
+                    "limit_age_ms",
+                    "in_window",
+                    "per_window",
+                    "cold_ms",
+                )
+            ),
+        )
+        self.assertNotIn("per_second", self.open_flow(now=2.0))
+
+
 class TestChangedLimit(AgentCase):
     """A new version's limit must reach the agents with the version."""
 
