Count openings at the time at which the agent delivers them

Callers would see a cold target that gets the openings of two windows within a second (FAILBACK); found by reading, while listing what is counted at a time other than that of sending.

Cause: an agent handled all datagrams of a wake-up at the time at which it had woken. If its VM stops in between, openings are delivered later than they are counted, and the next window begins too soon.

Change: the agent reads the clock for each message of a balancer and each packet of its target. Balancers keep the time of the wake-up: their timers must see a pause before agents count as silent for it.

Before: test_openings_count_at_the_time_of_their_delivery fails; 0.9 s after their delivery four openings no longer count. After: it passes.

--- a/godwitturn/platform/agent.py
+++ b/godwitturn/platform/agent.py
@@ -14,6 +14,7 @@
 from godwitturn.daemons import http_client
 from godwitturn.daemons import metrics_page
 from godwitturn.daemons import os_random
+from godwitturn.daemons import reactor
 from godwitturn.platform import channels
 from godwitturn.platform import documents
 from godwitturn.platform import packets
@@ -266,7 +267,7 @@
             self.record_malformed(sender)
             return
         self.perform(
-            self.core.handle_target_packet(segment, now=self.loop.now)
+            self.core.handle_target_packet(segment, now=reactor.clock())
         )
 
     def handle_target_unreachable(self) -> None:
@@ -274,8 +275,12 @@
         self.perform(self.core.handle_unreachable(now=self.loop.now))
 
     def handle_message(self, sender: str, message: messages.Message) -> None:
-        """Handles a message from a balancer."""
-        now = self.loop.now
+        """Handles a message from a balancer.
+
+        Openings are counted at the time at which they are delivered. The
+        process may have been stopped since the loop has finished waiting.
+        """
+        now = reactor.clock()
         match message:
             case messages.Forward(_, _, data):
                 segment = self.decode_client_packet(data, sender)
--- a/godwitturn/tests/test_suspension.py
+++ b/godwitturn/tests/test_suspension.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,7 +22,10 @@
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
 from godwitturn.daemons import reactor
+from godwitturn.platform import agent as agent_program
 from godwitturn.platform import channels
+from godwitturn.platform import settings
+from godwitturn.standins import platform_messages
 from godwitturn.standins import transparent_simulation
 from godwitturn.tests import store_process
 from godwitturn.tests import test_transparent_balancer
@@ -101,6 +105,40 @@
         self.assertEqual(1, self.agent.counts["outdated_openings"])
 
 
+class TestAgentProgram(unittest.TestCase):
+    """An agent may stop between waking and reading a datagram."""
+
+    def setUp(self) -> None:
+        address = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}.1"
+        fields = platform_messages.settings(
+            node="agent-1",
+            address=address,
+            data_centre="a",
+            store=(address, 1),
+            seeds=(),
+            service="core",
+            bounds={"cold_overshoot": 1.5, "cold_slack": 5},
+        )
+        self.program = agent_program.AgentProgram(settings.decode(fields))
+        self.limiter = self.program.core.cold_limiter
+        self.limiter.discount_earlier_run()
+
+    # Guards against openings that count as sent when the agent woke: those of
+    # the next window followed too soon.
+    def test_openings_count_at_the_time_of_their_delivery(self) -> None:
+        woken_at = self.program.loop.now
+        with mock.patch.object(reactor, "clock", lambda: woken_at + 0.5):
+            for number in range(9):
+                packet, _ = _packet(
+                    transparent_simulation.SYN, (number, *FLOW_ID[1:])
+                )
+                self.program.handle_message(
+                    BALANCER, messages.Forward("core", False, packet)
+                )
+        self.assertEqual(0, self.limiter.capacity(now=woken_at + 0.5))
+        self.assertEqual(0, self.limiter.capacity(now=woken_at + 1.4))
+
+
 class TestBalancer(test_transparent_balancer.TwoAgentsCase):
     """A balancer must not offer an opening that others have forwarded."""
 
