--- a/benchmarks/bench_transparent.py
+++ b/benchmarks/bench_transparent.py
@@ -20,7 +20,6 @@
 from godwitturn.core.transparent import agent_flows
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import document_exchange
-from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
 from godwitturn.platform import packets
@@ -170,9 +169,7 @@
 def measure_agent(flow_count: int) -> None:
     """Prints the processor time of requests and announcements at an agent."""
     node = transparent_simulation.make_agent(cold_per_second=None)
-    heartbeat = heartbeats.Heartbeat(
-        "i-1", 1, 1, "core", False, 1, 0, transparent_simulation.TARGET_ADDRESS
-    )
+    heartbeat = transparent_simulation.make_heartbeat()
     node.handle_heartbeat(heartbeat, now=NOW)
     for number in range(flow_count):
         node.flows.flow_by_id[flow_of(number)] = agent_flows.Flow(
--- a/godwitturn/standins/admission_simulation.py
+++ b/godwitturn/standins/admission_simulation.py
@@ -8,7 +8,6 @@
 import attrs
 
 from godwitturn.core.transparent import agent as agents
-from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import opening_queue
 from godwitturn.core.transparent import segments
@@ -206,15 +205,8 @@
         self._born += 1
         self._running.clear()
         self._queued.clear()
-        heartbeat = heartbeats.Heartbeat(
-            "i-1",
-            self._born,
-            1,
-            "core",
-            False,
-            self._slots,
-            cold_ms,
-            transparent_simulation.TARGET_ADDRESS,
+        heartbeat = transparent_simulation.make_heartbeat(
+            born=self._born, slots=self._slots, cold_ms=cold_ms
         )
         self._perform(self.agent.handle_heartbeat(heartbeat, now=self.now))
 
--- a/godwitturn/standins/transparent_simulation.py
+++ b/godwitturn/standins/transparent_simulation.py
@@ -134,6 +134,29 @@
     )
 
 
+def make_heartbeat(
+    sequence: int = 1,
+    *,
+    target_id: str = "i-1",
+    born: int = 1,
+    service: str = "core",
+    draining: bool = False,
+    slots: int = 1,
+    cold_ms: int = 0,
+) -> heartbeats.Heartbeat:
+    """Returns a heartbeat of an agent's target."""
+    return heartbeats.Heartbeat(
+        target_id,
+        born,
+        sequence,
+        service,
+        draining,
+        slots,
+        cold_ms,
+        TARGET_ADDRESS,
+    )
+
+
 def configuration(
     version: int = 1,
     *,
@@ -433,15 +456,13 @@
             return
         target.heartbeats += 1
         if vm.agent is not None:
-            heartbeat = heartbeats.Heartbeat(
+            heartbeat = make_heartbeat(
+                target.heartbeats,
                 target_id=target.target_id,
                 born=target.born,
-                sequence=target.heartbeats,
                 service=vm.service,
                 draining=target.draining,
-                slots=1,
                 cold_ms=target.cold_ms,
-                address=TARGET_ADDRESS,
             )
             actions = vm.agent.handle_heartbeat(heartbeat, now=self.now)
             self.perform(vm.address, actions)
--- a/godwitturn/tests/test_cold_orders.py
+++ b/godwitturn/tests/test_cold_orders.py
@@ -15,7 +15,6 @@
 from godwitturn.core.transparent import agent as agents
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import document_exchange
-from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
 from godwitturn.core.transparent import routes
@@ -122,15 +121,8 @@
                 )
                 if agent:
                     remaining_s = max(0.0, target_at + COLD_S - now)
-                    heartbeat = heartbeats.Heartbeat(
-                        "i-1",
-                        1,
-                        sequence,
-                        "core",
-                        False,
-                        4,
-                        round(1000 * remaining_s),
-                        simulation.TARGET_ADDRESS,
+                    heartbeat = simulation.make_heartbeat(
+                        sequence, slots=4, cold_ms=round(1000 * remaining_s)
                     )
                     agent.handle_heartbeat(heartbeat, now=now)
             for name, balancer in balancer_by_name.items():
--- a/godwitturn/tests/test_flow_record.py
+++ b/godwitturn/tests/test_flow_record.py
@@ -20,15 +20,8 @@
     target_id: str = "i-1", born: int = 1000, service: str = "core"
 ) -> heartbeats.Heartbeat:
     """Returns a heartbeat of a target."""
-    return heartbeats.Heartbeat(
-        target_id,
-        born,
-        1,
-        service,
-        False,
-        1,
-        0,
-        transparent_simulation.TARGET_ADDRESS,
+    return transparent_simulation.make_heartbeat(
+        target_id=target_id, born=born, service=service
     )
 
 
@@ -281,15 +274,8 @@
         )
 
     def test_flows_recorded_before_a_later_start_are_reset(self) -> None:
-        later_start = heartbeats.Heartbeat(
-            "i-2",
-            2000,
-            3,
-            "core",
-            False,
-            1,
-            0,
-            transparent_simulation.TARGET_ADDRESS,
+        later_start = transparent_simulation.make_heartbeat(
+            3, target_id="i-2", born=2000
         )
         self.agent.handle_heartbeat(later_start, now=0.5)
         actions = self.agent.apply_earlier_record(self.record, now=1.0)
--- a/godwitturn/tests/test_flow_searches.py
+++ b/godwitturn/tests/test_flow_searches.py
@@ -8,7 +8,6 @@
 
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import document_exchange
-from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
 from godwitturn.standins import transparent_simulation
@@ -128,16 +127,7 @@
         """Returns the reply of an agent after the target's heartbeat."""
         agent = transparent_simulation.make_agent()
         agent.handle_heartbeat(
-            heartbeats.Heartbeat(
-                "i-1",
-                1,
-                sequence,
-                "core",
-                False,
-                1,
-                0,
-                transparent_simulation.TARGET_ADDRESS,
-            ),
+            transparent_simulation.make_heartbeat(sequence),
             now=1.0,
         )
         query = messages.FlowQuery((1, 2, 3, 4), "")
--- a/godwitturn/tests/test_suspension.py
+++ b/godwitturn/tests/test_suspension.py
@@ -18,7 +18,6 @@
 from godwitturn.core.transparent import admission
 from godwitturn.core.transparent import balancer as balancers
 from godwitturn.core.transparent import cold_limit
-from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
 from godwitturn.daemons import reactor
@@ -46,16 +45,7 @@
 
     def setUp(self) -> None:
         self.agent = transparent_simulation.make_agent()
-        heartbeat = heartbeats.Heartbeat(
-            "i-1",
-            1,
-            1,
-            "core",
-            False,
-            1,
-            0,
-            transparent_simulation.TARGET_ADDRESS,
-        )
+        heartbeat = transparent_simulation.make_heartbeat()
         self.agent.handle_heartbeat(heartbeat, now=10.0)
 
     def _forward(self, flags: int, delay_s: float) -> list[messages.Action]:
--- a/godwitturn/tests/test_unknown_state.py
+++ b/godwitturn/tests/test_unknown_state.py
@@ -71,9 +71,7 @@
 
 
 def heartbeat(sequence: int, *, cold_ms: int = 0) -> heartbeats.Heartbeat:
-    return heartbeats.Heartbeat(
-        "i", 1, sequence, "core", False, 9, cold_ms, simulation.TARGET_ADDRESS
-    )
+    return simulation.make_heartbeat(sequence, slots=9, cold_ms=cold_ms)
 
 
 class AgentCase(unittest.TestCase):
--- a/godwitturn/tests/test_work_limit.py
+++ b/godwitturn/tests/test_work_limit.py
@@ -6,7 +6,6 @@
 from unittest import mock
 
 from godwitturn.core.transparent import agent as agents
-from godwitturn.core.transparent import heartbeats
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import segments
 from godwitturn.core.transparent import work_limit
@@ -105,16 +104,7 @@
         self._unanswered_count = 0
         self._slot_free_at = [0.0] * SLOTS
         self._agent = transparent_simulation.make_agent()
-        heartbeat = heartbeats.Heartbeat(
-            "i-1",
-            1,
-            1,
-            "core",
-            False,
-            SLOTS,
-            0,
-            transparent_simulation.TARGET_ADDRESS,
-        )
+        heartbeat = transparent_simulation.make_heartbeat(slots=SLOTS)
         self._agent.handle_heartbeat(heartbeat, now=0.0)
         for number in range(clients):
             self._forward(flow_of(number), transparent_simulation.SYN)
