--- a/godwitturn/standins/transparent_simulation.py
+++ b/godwitturn/standins/transparent_simulation.py
@@ -157,6 +157,29 @@
     )
 
 
+def offer_opening(
+    agent: agents.Agent, client_port: int, *, balancer: str, now: float
+) -> list[messages.Action]:
+    """Forwards the opening of a new flow to an agent.
+
+    Args:
+        agent: The agent, of service `core`.
+        client_port: Port of the client, which makes the flow a new one.
+        balancer: Address of the balancer that forwards it.
+        now: Seconds.
+
+    Returns:
+        Actions of the agent.
+    """
+    data = packet((0x0A000063, client_port, ROUTE_ADDRESS, ROUTE_PORT), SYN)
+    return agent.handle_forward(
+        balancer,
+        messages.Forward("core", False, data),
+        client_segment(data),
+        now=now,
+    )
+
+
 def configuration(
     version: int = 1,
     *,
--- a/godwitturn/tests/test_cold_orders.py
+++ b/godwitturn/tests/test_cold_orders.py
@@ -109,14 +109,14 @@
             name: self.start_by_name[name] for name in balancer_by_name
         }
         target_at = self.start_by_name["target"]
-        beat_at, sequence = target_at, 0
+        heartbeat_at, sequence = target_at, 0
         agent: agents.Agent | None = None
         for step in range(round(RUN_S / STEP_S)):
             now = step * STEP_S
             agent = self._update_agent(agent, now)
-            if now >= beat_at:
+            if now >= heartbeat_at:
                 sequence += 1
-                beat_at = now + (
+                heartbeat_at = now + (
                     HEARTBEAT_INTERVAL_S if agent else HEARTBEAT_RETRY_S
                 )
                 if agent:
@@ -153,18 +153,8 @@
         self, agent: agents.Agent, step: int, now: float, target_at: float
     ) -> None:
         """Offers an opening to the agent and notes what is delivered."""
-        flow_id = (
-            0x0A000063,
-            1024 + step,
-            simulation.ROUTE_ADDRESS,
-            simulation.ROUTE_PORT,
-        )
-        data = simulation.packet(flow_id, simulation.SYN)
-        actions = agent.handle_forward(
-            "10.0.1.1",
-            messages.Forward("core", False, data),
-            simulation.client_segment(data),
-            now=now,
+        actions = simulation.offer_opening(
+            agent, 1024 + step, balancer="10.0.1.1", now=now
         )
         actions += agent.tick(now=now)
         if target_at <= now < target_at + COLD_S:
@@ -226,7 +216,3 @@
                         source=source,
                     )
                 )
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/godwitturn/tests/test_unknown_state.py
+++ b/godwitturn/tests/test_unknown_state.py
@@ -87,6 +87,17 @@
         reader.balancer.register(AGENT, "core", "a", now=0.0)
         return reader
 
+    def offer_opening(
+        self, agent: agents.Agent, *, now: float
+    ) -> list[messages.Action]:
+        """Offers the opening of a new flow; returns the agent's actions."""
+        return simulation.offer_opening(
+            agent,
+            next(self._ports),
+            balancer=self.reader.balancer.address,
+            now=now,
+        )
+
     def open_flows(
         self, agent: agents.Agent, start: float, end: float
     ) -> list[float]:
@@ -94,19 +105,7 @@
         delivered = []
         for step in range(round(50 * (end - start))):
             now = start + step / 50
-            flow_id = (
-                0x0A000063,
-                next(self._ports),
-                simulation.ROUTE_ADDRESS,
-                simulation.ROUTE_PORT,
-            )
-            data = simulation.packet(flow_id, simulation.SYN)
-            actions = agent.handle_forward(
-                self.reader.balancer.address,
-                messages.Forward("core", False, data),
-                simulation.client_segment(data),
-                now=now,
-            )
+            actions = self.offer_opening(agent, now=now)
             actions += agent.tick(now=now)
             delivered += [
                 now for each in actions if isinstance(each, messages.Deliver)
@@ -340,14 +339,7 @@
 
     def open_flow(self, *, now: float) -> dict[str, object]:
         """Returns the fields of the event of an opening."""
-        flow_id = (1, next(self._ports), simulation.ROUTE_ADDRESS, 443)
-        data = simulation.packet(flow_id, simulation.SYN)
-        actions = self.agent.handle_forward(
-            self.reader.balancer.address,
-            messages.Forward("core", False, data),
-            simulation.client_segment(data),
-            now=now,
-        )
+        actions = self.offer_opening(self.agent, now=now)
         (fields,) = self.events(actions, "opening_delivered")
         return fields
 
