--- a/godwitturn/standins/transparent_simulation.py
+++ b/godwitturn/standins/transparent_simulation.py
@@ -157,6 +157,11 @@
     )
 
 
+def client_flow_id(client_port: int) -> segments.FlowId:
+    """Returns the flow of one client's port to the route."""
+    return 0x0A000063, client_port, ROUTE_ADDRESS, ROUTE_PORT
+
+
 def offer_opening(
     agent: agents.Agent, client_port: int, *, balancer: str, now: float
 ) -> list[messages.Action]:
@@ -171,7 +176,7 @@
     Returns:
         Actions of the agent.
     """
-    data = packet((0x0A000063, client_port, ROUTE_ADDRESS, ROUTE_PORT), SYN)
+    data = packet(client_flow_id(client_port), SYN)
     return agent.handle_forward(
         balancer,
         messages.Forward("core", False, data),
--- a/godwitturn/tests/test_flow_searches.py
+++ b/godwitturn/tests/test_flow_searches.py
@@ -10,6 +10,7 @@
 from godwitturn.core.transparent import document_exchange
 from godwitturn.core.transparent import messages
 from godwitturn.core.transparent import peers
+from godwitturn.platform import packets
 from godwitturn.standins import transparent_simulation
 from godwitturn.tests import test_target_placement
 from godwitturn.tests import test_transparent_simulation
@@ -142,3 +143,41 @@
     def test_flow_is_absent_if_the_target_is_younger(self) -> None:
         reply = self.reply_to_query(sequence=1)
         self.assertIsInstance(reply, messages.FlowAbsent)
+
+
+class TestRestartedTarget(unittest.TestCase):
+    """Flows of a target that restarts beside its agent."""
+
+    # Guards against flows that are reset because they were opened at a new
+    # start of the target before its first heartbeat. Order: opening at the new
+    # start, its answer, its heartbeat, query.
+    def test_flow_opened_before_the_first_heartbeat_is_kept(self) -> None:
+        agent = transparent_simulation.make_agent()
+        agent.handle_heartbeat(
+            transparent_simulation.make_heartbeat(), now=1.0
+        )
+        flow_id = transparent_simulation.client_flow_id(1024)
+        transparent_simulation.offer_opening(
+            agent, 1024, balancer="10.0.0.1", now=2.0
+        )
+        answer = packets.decode(
+            transparent_simulation.packet(
+                flow_id,
+                transparent_simulation.SYN | transparent_simulation.ACK,
+                from_target=True,
+            ),
+            from_target=True,
+        )
+        assert answer is not None
+        agent.handle_target_packet(answer, now=2.001)
+        agent.handle_heartbeat(
+            transparent_simulation.make_heartbeat(target_id="i-2", born=2),
+            now=2.016,
+        )
+        query = messages.FlowQuery(flow_id, "core")
+        replies = [
+            type(action.message)
+            for action in agent.handle_query("10.0.0.1", query, now=2.02)
+            if isinstance(action, messages.Send)
+        ]
+        self.assertNotIn(messages.FlowAbsent, replies)
