--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -470,7 +470,15 @@
 
 
 class Endpoint:
-    """An endpoint beside an agent; each object is one start of it."""
+    """An endpoint beside an agent; each object is one start of it.
+
+    Attributes:
+        first_heartbeat_s: Seconds from its start to its first heartbeat.
+        cold_s: Seconds for which it is cold after its start.
+    """
+
+    first_heartbeat_s = 0.0
+    cold_s = 0.0
 
     def __init__(
         self, record: Record, taken: list[Taken], machine: "Machine"
@@ -520,24 +528,30 @@
     async def _health(self, *_: object) -> tuple[int, dict[str, Any]]:
         return (200 if self.state == "ready" else 503), {}
 
+    def heartbeat(self) -> dict[str, Any]:
+        """Returns the document of the endpoint's newest heartbeat."""
+        cold_left_s = self.started_at + self.cold_s - self._record.now
+        return {
+            "service": self.service,
+            "address": f"{self.address}:{APP_PORT}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 4,
+            "state": self.state,
+            "cold_remaining_ms": max(0, round(1000 * cold_left_s)),
+            "sequence": self._sequence,
+            "born": self._born,
+        }
+
     async def _send_heartbeats(self) -> None:
+        await asyncio.sleep(self.first_heartbeat_s)
         while True:
             self._sequence += 1
             status = await call(
                 (self.address, CONTROL_PORT),
                 "PUT",
                 f"/instances/{self.name}",
-                {
-                    "service": self.service,
-                    "address": f"{self.address}:{APP_PORT}",
-                    "zone": self.zone,
-                    "version": "v1",
-                    "slots": 4,
-                    "state": self.state,
-                    "cold_remaining_ms": 0,
-                    "sequence": self._sequence,
-                    "born": self._born,
-                },
+                self.heartbeat(),
             )
             # An endpoint that starts before its agent calls again soon.
             await asyncio.sleep(HEARTBEAT_S if status == 200 else 0.2)
@@ -896,7 +910,8 @@
             data=data,
         )
         balancer = self._router.choose(flow, self._zone)
-        self._transport.sendto(raw, (balancer, PACKETS_PORT))
+        if not self._transport.is_closing():
+            self._transport.sendto(raw, (balancer, PACKETS_PORT))
 
     def _on_datagram(self, raw: bytes) -> None:
         packet = decode(raw)
