--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -488,6 +488,7 @@
         self.zone = machine.zone
         self.address = machine.address
         self.started_at = record.now
+        self.cold_until = self.started_at + self.cold_s
         self.ended_at: float | None = None
         self.state = "ready"
         self._record = record
@@ -530,7 +531,7 @@
 
     def heartbeat(self) -> dict[str, Any]:
         """Returns the document of the endpoint's newest heartbeat."""
-        cold_left_s = self.started_at + self.cold_s - self._record.now
+        cold_left_s = self.cold_until - self._record.now
         return {
             "service": self.service,
             "address": f"{self.address}:{APP_PORT}",
@@ -734,6 +735,7 @@
     Attributes:
         flow: Its addresses and ports.
         seq: Sequence number of the opening.
+        sent_at: When the opening was sent first.
         opened_at: When it was opened, in seconds since the script began.
         resets: Times of resets that the client got.
     """
@@ -741,6 +743,7 @@
     def __init__(self, clients: "Clients", flow: FlowId) -> None:
         self.flow = flow
         self.seq = random.getrandbits(32)
+        self.sent_at = 0.0
         self.opened_at: float | None = None
         self.resets: list[float] = []
         self._clients = clients
@@ -753,6 +756,7 @@
         """Opens the flow; returns whether an endpoint accepted it."""
         record = self._clients.record
         record.write(f"client opens {flow_name(self.flow)}")
+        self.sent_at = record.now
         for number, pause_s in enumerate((0.2, 0.4, 0.8)):
             self._clients.send(self.flow, SYN, seq=self.seq, ack=number)
             done, _ = await asyncio.wait({self._opened}, timeout=pause_s)
@@ -1106,7 +1110,10 @@
 
 
 def configuration(
-    version: int, routes: list[dict[str, Any]], services: list[str]
+    version: int,
+    routes: list[dict[str, Any]],
+    services: list[str],
+    cold_per_s: float = 0.0,
 ) -> dict[str, Any]:
     """Returns a configuration of the operators."""
     return {
@@ -1120,7 +1127,7 @@
                 "protocol": "h1",
                 "tls": False,
                 "cold_start_s": 2.0,
-                "cold_per_s": 0.0,
+                "cold_per_s": cold_per_s,
             }
             for service in services
         ],
